--- /dev/null
+++ b/include/azuregw/preset/preset.h
@@ -0,0 +1,113 @@
+// The preset: one whole configuration of models, upstreams, links, services, workspaces and limits.
+// The JSON shape is described in docs/assumptions.md. A Preset is immutable once it is published.
+
+#ifndef AZUREGW_PRESET_PRESET_H_
+#define AZUREGW_PRESET_PRESET_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "azuregw/base/clock.h"
+
+namespace azuregw {
+
+// Half-open range of layers [first, last).
+struct LayerRange {
+  int first = 0;
+  int last = 0;
+  friend bool operator==(const LayerRange& a, const LayerRange& b) {
+    return a.first == b.first && a.last == b.last;
+  }
+  friend bool operator<(const LayerRange& a, const LayerRange& b) {
+    return a.first != b.first ? a.first < b.first : a.last < b.last;
+  }
+};
+
+enum class ActivationTransfer { kHandle, kInline };
+
+struct ModelSpec {
+  int layers = 0;
+  int max_tokens = 256;  // Generated tokens per answer at most.
+  ActivationTransfer transfer = ActivationTransfer::kHandle;
+};
+
+struct EngineSpec {
+  std::string name;
+  std::string address;  // "IP:port"
+  std::string model;
+  LayerRange range;
+  std::string kind;  // Kind of accelerator.
+  std::string failure_domain;
+  int capacity = 1;       // Sequences run at the same time.
+  double step_ms = 10.0;  // Time of one decode step without load.
+  bool checks_fencing = false;
+  std::string version;
+  std::vector<std::string> adapters;
+  std::string role;
+};
+
+struct ServiceUpstreamSpec {
+  std::string name;
+  std::string service;
+  std::string address;  // "IP:port"
+  std::string failure_domain;
+  int capacity = 1;  // Calls run at the same time.
+};
+
+struct OperationSpec {
+  std::string method;
+  std::string path;         // Path prefix on whole segments, such as "/deposits".
+  bool repeatable = false;  // Whether a second run has no further effect.
+  bool key_required = false;
+};
+
+struct ServiceSpec {
+  std::vector<OperationSpec> operations;
+};
+
+struct WorkspaceSpec {
+  std::string key_sha256;  // Lower-case hexadecimal SHA-256 of the bearer key.
+  double weight = 1.0;     // Share of capacity under overload, relative to other workspaces.
+  int priority = 5;        // 0 (lowest) to 9.
+  int max_inflight = 1000;
+};
+
+struct LimitSpec {
+  int64_t max_body_bytes = 1 << 20;
+  Milliseconds step_timeout{2000};
+  Milliseconds default_deadline{30000};
+  int retry_budget_percent = 10;  // Retries allowed per hundred first attempts.
+};
+
+struct OrderSpec {
+  int shards = 256;
+  std::chrono::seconds retention{86400};
+};
+
+struct Preset {
+  std::string name;
+  std::map<std::string, ModelSpec> models;
+  std::map<std::string, EngineSpec> engines;
+  std::map<std::string, ServiceUpstreamSpec> service_upstreams;
+  // One-way link times in ms by (failure domain, failure domain); symmetric.
+  std::map<std::string, std::map<std::string, double>> links;
+  std::map<std::string, ServiceSpec> services;
+  std::map<std::string, WorkspaceSpec> workspaces;
+  LimitSpec limits;
+  OrderSpec orders;
+  int weight_loads_per_minute = 6;
+};
+
+// One-way link time in ms: the listed value in either direction, else 0.1 in one domain and 1.0
+// between two.
+double LinkMs(const Preset& preset, const std::string& from_domain, const std::string& to_domain);
+
+// The entry that covers (method, path), or the default of docs/assumptions.md.
+OperationSpec FindOperation(const ServiceSpec& service, const std::string& method,
+                            const std::string& path);
+
+}  // namespace azuregw
+
+#endif  // AZUREGW_PRESET_PRESET_H_
--- /dev/null
+++ b/src/main/main.cc
@@ -0,0 +1,3 @@
+// Entry point of the azuregw binary.
+
+int main() { return 0; }
