--- a/tests/fakes/memory_key_value_store.h
+++ b/tests/fakes/memory_key_value_store.h
@@ -150,7 +150,7 @@
     return KvWatchReply{std::move(found), m_revision};
   }
 
-  Result<std::string> GrantLease(Milliseconds ttl) override {
+  Result<std::string> GrantLease(Milliseconds /*ttl*/) override {
     Before("grant", "");
     const std::lock_guard<std::mutex> lock(m_mutex);
     const Result<uint64_t> number = Write([&]() -> Result<uint64_t> {
