Add the order service with group-committed claims

Keyed calls that may not be repeated are claimed by a compare-and-swap of a shard record before they are sent; a repeat gets the recorded answer, 3001 or 3002. Claims and outcomes of one shard share a swap. The number of shards is fixed by azuregw/orders/layout, because a key that moved to another shard would look unused.

--- a/include/azuregw/orders/order_service.h
+++ b/include/azuregw/orders/order_service.h
@@ -9,9 +9,13 @@
 #include <string>
 
 #include "azuregw/base/clock.h"
+#include "azuregw/base/random.h"
 #include "azuregw/base/result.h"
 #include "azuregw/control/snapshot.h"
+#include "azuregw/metrics/metrics.h"
+#include "azuregw/orders/claim_forwarder.h"
 #include "azuregw/service/service_client.h"
+#include "azuregw/timeline/event_recorder.h"
 
 namespace azuregw {
 
@@ -44,6 +48,22 @@
   virtual int Flush(TimePoint deadline) = 0;
 };
 
+// What an order service works with; all but `random` must outlive it.
+struct OrderServiceParts {
+  ServiceClient* client = nullptr;
+  ClaimForwarder* forwarder = nullptr;
+  const Clock* clock = nullptr;
+  std::unique_ptr<Random> random;
+  // Whether the retry budget of a target ("service/<name>") allows one more retry. Empty: always.
+  std::function<bool(const std::string& target)> take_retry;
+  Metrics* metrics = nullptr;       // Optional.
+  EventRecorder* events = nullptr;  // Optional.
+};
+
+// Callbacks of `client` and `forwarder` may still arrive after the service was destroyed; they then
+// have no effect but the recording of outcomes.
+std::unique_ptr<OrderService> MakeOrderService(OrderServiceParts parts);
+
 }  // namespace azuregw
 
 #endif  // AZUREGW_ORDERS_ORDER_SERVICE_H_
--- /dev/null
+++ b/src/orders/order_committer.cc
@@ -0,0 +1,373 @@
+// Worker threads and timer of the group commit.
+
+#include "azuregw/orders/order_committer.h"
+
+#include <glog/logging.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdlib>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <set>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "azuregw/base/rendezvous.h"
+
+namespace azuregw {
+namespace {
+
+// Period of the check for deadlines, lingers and back-offs.
+constexpr Milliseconds kTick{5};
+
+StoreReply Execute(KeyValueStore* store, const StoreCall& call) {
+  StoreReply reply;
+  switch (call.kind) {
+    case StoreCall::Kind::kRead: {
+      Result<std::optional<KvEntry>> read = store->Get(call.key);
+      if (read) {
+        reply.entry = std::move(read.value());
+      } else {
+        reply.code = read.error().code;
+      }
+      break;
+    }
+    case StoreCall::Kind::kWrite: {
+      const Result<uint64_t> written =
+          store->CompareAndSwap(call.key, call.expected, call.value, "");
+      reply.code = written ? ResultCode::kOk : written.error().code;
+      reply.revision = written ? written.value() : 0;
+      break;
+    }
+    case StoreCall::Kind::kDelete: {
+      const Result<uint64_t> deleted = store->Delete(call.key, call.expected);
+      reply.code = deleted ? ResultCode::kOk : deleted.error().code;
+      break;
+    }
+  }
+  return reply;
+}
+
+class ThreadedCommitter final : public OrderCommitter {
+ public:
+  ThreadedCommitter(KeyValueStore* store, const Clock* clock, CommitterOptions options)
+      : m_store(store), m_clock(clock), m_options(std::move(options)) {
+    m_initial_shards = m_options.initial_shards;
+    m_retention_ms = m_options.batcher.retention_ms;
+    for (int i = 0; i < m_options.threads; ++i) {
+      m_threads.emplace_back([this] { Work(); });
+    }
+    m_threads.emplace_back([this] { Tick(); });
+  }
+
+  ~ThreadedCommitter() override {
+    {
+      const std::lock_guard<std::mutex> lock(m_mutex);
+      m_stopping = true;
+    }
+    m_wake.notify_all();
+    m_tick.notify_all();
+    for (std::thread& thread : m_threads) {
+      thread.join();
+    }
+  }
+
+  void Submit(Claim claim, TimePoint deadline, ClaimDone done) override {
+    Unrouted item{std::move(claim), deadline, std::move(done), nullptr};
+    Route(std::move(item));
+  }
+
+  void Record(Claim outcome, RecordDone done) override {
+    ++m_unwritten;
+    const auto counted = [this, done = std::move(done)] {
+      --m_unwritten;
+      done();
+    };
+    Route(Unrouted{std::move(outcome), TimePoint::max(), nullptr, counted});
+  }
+
+  void Configure(int initial_shards, int64_t retention_ms) override {
+    m_initial_shards = initial_shards;
+    m_retention_ms = retention_ms;
+  }
+
+  void FlushOutcomes() override {
+    m_flushing = true;
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (const int shard : m_active) {
+      MakeReady(shard);
+    }
+  }
+
+  int UnwrittenOutcomes() const override { return m_unwritten; }
+
+  int ShardOf(const std::string& key_hash) const override {
+    const int shards = m_shards;
+    return shards == 0 ? -1
+                       : static_cast<int>(StableHash(key_hash) % static_cast<uint64_t>(shards));
+  }
+
+  BatcherCounters Counters() const override {
+    BatcherCounters sum;
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (const auto& [number, shard] : m_slots) {
+      const std::lock_guard<std::mutex> slot_lock(shard->mutex);
+      const BatcherCounters& part = shard->batcher.Counters();
+      sum.swaps += part.swaps;
+      sum.conflicts += part.conflicts;
+      sum.lost_replies += part.lost_replies;
+      sum.unavailable += part.unavailable;
+      sum.calls += part.calls;
+      sum.written_bytes += part.written_bytes;
+      sum.seals += part.seals;
+    }
+    return sum;
+  }
+
+ private:
+  struct Slot {
+    Slot(std::string prefix, const BatcherOptions& options) : batcher(std::move(prefix), options) {}
+    mutable std::mutex mutex;
+    ClaimBatcher batcher;
+  };
+
+  // A claim (with `claim_done`) or an outcome (with `record_done`).
+  struct Unrouted {
+    Claim claim;
+    TimePoint deadline;
+    ClaimDone claim_done;
+    RecordDone record_done;
+  };
+
+  void Route(Unrouted item) {
+    const int shard = ShardOf(item.claim.key_hash);
+    if (shard < 0) {
+      const std::lock_guard<std::mutex> lock(m_mutex);
+      m_unrouted.push_back(std::move(item));
+      m_wake.notify_one();
+      return;
+    }
+    Slot* slot = FindSlot(shard);
+    {
+      const std::lock_guard<std::mutex> lock(slot->mutex);
+      if (item.claim_done) {
+        slot->batcher.Submit(std::move(item.claim), item.deadline, m_clock->Now(),
+                             std::move(item.claim_done));
+      } else {
+        slot->batcher.Record(std::move(item.claim), m_clock->Now(), std::move(item.record_done));
+      }
+    }
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    MakeReady(shard);
+  }
+
+  Slot* FindSlot(int shard) {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    std::unique_ptr<Slot>& slot = m_slots[shard];
+    if (!slot) {
+      slot =
+          std::make_unique<Slot>(m_options.prefix + "/" + std::to_string(shard), m_options.batcher);
+    }
+    return slot.get();
+  }
+
+  // The lock is held.
+  void MakeReady(int shard) {
+    m_active.insert(shard);
+    if (m_queued.insert(shard).second) {
+      m_ready.push_back(shard);
+      m_wake.notify_one();
+    }
+  }
+
+  void Work() {
+    std::unique_lock<std::mutex> lock(m_mutex);
+    while (!m_stopping) {
+      if (m_shards == 0 && !m_unrouted.empty() && !m_loading_layout &&
+          m_clock->Now() >= m_layout_not_before) {
+        m_loading_layout = true;
+        lock.unlock();
+        LoadLayout();
+        lock.lock();
+        m_loading_layout = false;
+      } else if (!m_ready.empty()) {
+        const int shard = m_ready.front();
+        m_ready.pop_front();
+        m_queued.erase(shard);
+        Slot* slot = m_slots.at(shard).get();
+        lock.unlock();
+        const bool again = Step(slot);
+        lock.lock();
+        UpdateActive(shard, *slot);
+        if (again) {
+          MakeReady(shard);
+        }
+      } else {
+        m_wake.wait(lock);
+      }
+    }
+  }
+
+  // The lock is held. Checks under both locks, so that an item queued meanwhile is not overlooked.
+  void UpdateActive(int shard, const Slot& slot) {
+    const std::lock_guard<std::mutex> slot_lock(slot.mutex);
+    if (slot.batcher.Idle()) {
+      m_active.erase(shard);
+    } else {
+      m_active.insert(shard);
+    }
+  }
+
+  // Makes one store call of the shard; returns whether another may follow at once.
+  bool Step(Slot* slot) {
+    std::unique_lock<std::mutex> lock(slot->mutex);
+    slot->batcher.SetRetention(m_retention_ms);
+    if (m_flushing) {
+      slot->batcher.FlushOutcomes();
+    }
+    const std::optional<StoreCall> call = slot->batcher.NextCall(m_clock->Now(), m_clock->WallMs());
+    RunCallbacks(slot, &lock);
+    if (!call) {
+      return false;
+    }
+    lock.unlock();
+    const StoreReply reply = Execute(m_store, *call);
+    lock.lock();
+    slot->batcher.OnReply(reply, m_clock->Now(), m_clock->WallMs());
+    RunCallbacks(slot, &lock);
+    return !slot->batcher.Idle();
+  }
+
+  static void RunCallbacks(Slot* slot, std::unique_lock<std::mutex>* lock) {
+    const std::vector<std::function<void()>> callbacks = slot->batcher.TakeCallbacks();
+    if (callbacks.empty()) {
+      return;
+    }
+    lock->unlock();
+    for (const auto& callback : callbacks) {
+      callback();
+    }
+    lock->lock();
+  }
+
+  void Tick() {
+    std::unique_lock<std::mutex> lock(m_mutex);
+    while (!m_stopping) {
+      m_tick.wait_for(lock, kTick);
+      const std::vector<int> active(m_active.begin(), m_active.end());
+      std::vector<std::pair<int, Slot*>> slots;
+      slots.reserve(active.size());
+      for (const int shard : active) {
+        slots.emplace_back(shard, m_slots.at(shard).get());
+      }
+      lock.unlock();
+      ExpireUnrouted();
+      std::vector<int> due;
+      for (const auto& [shard, slot] : slots) {
+        if (CheckSlot(slot)) {
+          due.push_back(shard);
+        }
+      }
+      lock.lock();
+      for (const int shard : due) {
+        MakeReady(shard);
+      }
+      if (m_shards == 0 && !m_unrouted.empty()) {
+        m_wake.notify_one();
+      }
+    }
+  }
+
+  // Returns whether the shard has something to do now.
+  bool CheckSlot(Slot* slot) {
+    std::unique_lock<std::mutex> lock(slot->mutex);
+    const TimePoint now = m_clock->Now();
+    slot->batcher.Expire(now, m_clock->WallMs());
+    RunCallbacks(slot, &lock);
+    const std::optional<TimePoint> wake = slot->batcher.NextWake();
+    return (wake && *wake <= now) || slot->batcher.Idle();
+  }
+
+  void ExpireUnrouted() {
+    std::vector<ClaimDone> expired;
+    {
+      const std::lock_guard<std::mutex> lock(m_mutex);
+      const TimePoint now = m_clock->Now();
+      for (auto it = m_unrouted.begin(); it != m_unrouted.end();) {
+        if (it->claim_done && now >= it->deadline) {
+          expired.push_back(std::move(it->claim_done));
+          it = m_unrouted.erase(it);
+        } else {
+          ++it;
+        }
+      }
+    }
+    for (const ClaimDone& done : expired) {
+      done(ClaimReply{});
+    }
+  }
+
+  // Reads the number of shards, or records it when there is none.
+  void LoadLayout() {
+    const std::string key = m_options.prefix + "/layout";
+    const Result<std::optional<KvEntry>> read = m_store->Get(key);
+    int shards = 0;
+    if (read && read.value()) {
+      shards = std::atoi(read.value()->value.c_str());
+    } else if (read) {
+      const int wanted = m_initial_shards;
+      if (m_store->CompareAndSwap(key, 0, std::to_string(wanted), "")) {
+        shards = wanted;
+      }
+    }
+    std::deque<Unrouted> waiting;
+    {
+      const std::lock_guard<std::mutex> lock(m_mutex);
+      if (shards <= 0) {
+        // A conflict or a lost reply is resolved by the next read.
+        m_layout_not_before = m_clock->Now() + m_options.batcher.first_backoff;
+        return;
+      }
+      m_shards = shards;
+      waiting.swap(m_unrouted);
+    }
+    LOG(INFO) << "order layout loaded: shards=" << shards;
+    for (Unrouted& item : waiting) {
+      Route(std::move(item));
+    }
+  }
+
+  KeyValueStore* const m_store;
+  const Clock* const m_clock;
+  const CommitterOptions m_options;
+  std::atomic<int> m_initial_shards{0};
+  std::atomic<int64_t> m_retention_ms{0};
+  std::atomic<int> m_shards{0};  // 0 until the layout is known; then constant.
+  std::atomic<int> m_unwritten{0};
+  std::atomic<bool> m_flushing{false};
+
+  mutable std::mutex m_mutex;  // Guards the members below; taken before a slot's mutex, if both.
+  std::condition_variable m_wake;                // For workers.
+  std::condition_variable m_tick;                // For the timer thread.
+  std::map<int, std::unique_ptr<Slot>> m_slots;  // Slots are never removed.
+  std::deque<int> m_ready;
+  std::set<int> m_queued;  // Members of m_ready.
+  std::set<int> m_active;  // Shards with waiting items.
+  std::deque<Unrouted> m_unrouted;
+  TimePoint m_layout_not_before{};
+  bool m_loading_layout = false;
+  bool m_stopping = false;
+  std::vector<std::thread> m_threads;
+};
+
+}  // namespace
+
+std::unique_ptr<OrderCommitter> MakeOrderCommitter(KeyValueStore* store, const Clock* clock,
+                                                   CommitterOptions options) {
+  return std::make_unique<ThreadedCommitter>(store, clock, std::move(options));
+}
+
+}  // namespace azuregw
