--- a/include/azuregw/peer/peer_transport.h
+++ b/include/azuregw/peer/peer_transport.h
@@ -27,6 +27,8 @@
   // Errors: kPortInUse.
   virtual Result<void> Start() = 0;
   virtual void Stop() = 0;
+  // The bound address "IP:port"; valid after Start.
+  virtual std::string ListenAddress() const = 0;
   // Queues a payload to the peer at `address`, connecting if needed. Drops it when the queue is
   // full or the peer is unreachable. Thread-safe.
   virtual void Send(const std::string& address, std::vector<uint8_t> payload) = 0;
