--- /dev/null
+++ b/src/preset/preset_tracker.cc
@@ -0,0 +1,30 @@
+// Preset in force.
+
+#include "azuregw/preset/preset_tracker.h"
+
+#include <cassert>
+#include <utility>
+
+#include "azuregw/preset/preset_codec.h"
+
+namespace azuregw {
+
+PresetTracker::Offer PresetTracker::OfferDocument(uint64_t revision, std::string_view document) {
+  if (revision <= m_current.revision) {
+    return Offer::kStale;
+  }
+  Result<Preset> decoded = DecodePresetInForce(document);
+  if (!decoded) {
+    m_last_problem = decoded.error().message;
+    return Offer::kInvalid;
+  }
+  PresetVersion next;
+  next.revision = revision;
+  next.document = std::make_shared<const std::string>(document);
+  next.preset = std::make_shared<const Preset>(std::move(decoded.value()));
+  assert(next.revision > m_current.revision);
+  m_current = std::move(next);
+  return Offer::kApplied;
+}
+
+}  // namespace azuregw
