Add the control loop, platform adapters, metrics and logging

After a gap of more than 1 s between ticks it reads preset and list again before it calls itself ready.

--- a/include/azuregw/control/snapshot.h
+++ b/include/azuregw/control/snapshot.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "azuregw/base/clock.h"
 #include "azuregw/preset/preset.h"
 
 namespace azuregw {
@@ -35,6 +36,7 @@
   std::string self;                         // Name of this instance.
   std::string failure_domain;               // Of this instance.
   bool draining = false;                    // This instance is shutting down.
+  bool refreshing = false;  // The process was paused and reads its state again; starts no new work.
 };
 
 class SnapshotSource {
@@ -42,6 +44,9 @@
   virtual ~SnapshotSource() = default;
   // Never null. Thread-safe and wait-free for readers apart from one atomic load.
   virtual std::shared_ptr<const Snapshot> Current() const = 0;
+  // Whether the process may have been paused, so that the current snapshot may be outdated. New
+  // work waits until this is false again.
+  virtual bool IsStale(TimePoint /*now*/) const { return false; }
 };
 
 // Notices from traffic to the control thread. Thread-safe; calls never block.
@@ -50,6 +55,9 @@
   virtual ~ControlNotices() = default;
   // An upstream answered that it is leaving.
   virtual void OnUpstreamLeaving(const std::string& upstream) = 0;
+  // An upstream's load report, measured at `measured_wall_ms`, says whether it is leaving.
+  virtual void OnUpstreamReport(const std::string& /*upstream*/, bool /*leaving*/,
+                                int64_t /*measured_wall_ms*/) {}
 };
 
 }  // namespace azuregw
--- /dev/null
+++ b/src/control/platform_workers.cc
@@ -0,0 +1,175 @@
+// Blocking calls to the platform.
+
+#include "control/platform_workers.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace azuregw {
+
+Milliseconds PlatformWorkers::Backoff::Next() {
+  const Milliseconds delay = m_delay;
+  m_delay = std::min(m_delay * 2, Milliseconds(kLast));
+  return delay;
+}
+
+PlatformWorkers::PlatformWorkers(const ControlOptions& options,
+                                 const ControlDependencies& dependencies, PlatformReports reports)
+    : m_options(options), m_dependencies(dependencies), m_reports(std::move(reports)) {}
+
+PlatformWorkers::~PlatformWorkers() { Stop(); }
+
+void PlatformWorkers::Start() {
+  m_watch_thread = std::thread([this] { RunWatch(); });
+  m_read_thread = std::thread([this] { RunRead(); });
+}
+
+void PlatformWorkers::Stop() {
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_stopped = true;
+  }
+  m_changed.notify_all();
+  if (m_watch_thread.joinable()) {
+    m_watch_thread.join();
+  }
+  if (m_read_thread.joinable()) {
+    m_read_thread.join();
+  }
+}
+
+void PlatformWorkers::SetWatching(bool watching) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_watching = watching;
+  m_changed.notify_all();
+}
+
+void PlatformWorkers::SetPresetKnown(bool known) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_preset_known = known;
+  m_changed.notify_all();
+}
+
+void PlatformWorkers::Refresh(uint64_t number) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_refresh = number;
+  m_changed.notify_all();
+}
+
+bool PlatformWorkers::Pause(TimePoint deadline, const std::function<bool()>& wake) {
+  std::unique_lock<std::mutex> lock(m_mutex);
+  m_changed.wait_until(lock, deadline, [&] { return m_stopped || wake(); });
+  return !m_stopped;
+}
+
+void PlatformWorkers::RunWatch() {
+  Backoff backoff;
+  uint64_t after = 0;
+  while (true) {
+    {
+      std::unique_lock<std::mutex> lock(m_mutex);
+      m_changed.wait(lock, [this] { return m_stopped || m_watching; });
+      if (m_stopped) {
+        return;
+      }
+    }
+    if (WatchOnce(&after)) {
+      backoff.Reset();
+      continue;
+    }
+    if (!Pause(SystemClock().Now() + backoff.Next(), [] { return false; })) {
+      return;
+    }
+  }
+}
+
+bool PlatformWorkers::WatchOnce(uint64_t* after) {
+  Result<KvWatchReply> reply =
+      m_dependencies.kv->Watch(kPresetWatchPrefix, *after, m_options.watch_wait);
+  if (!reply) {
+    m_reports.on_error("watch", reply.error());
+    return false;
+  }
+  // A service that was restored from a copy counts from a lower revision; a watch after the old one
+  // would never end.
+  *after = reply.value().revision < *after ? 0 : reply.value().revision;
+  for (const KvEntry& entry : reply.value().entries) {
+    if (entry.key != kCurrentPresetKey) {
+      continue;
+    }
+    Result<PresetRecord> record = DecodePresetRecord(entry.value);
+    if (!record) {
+      m_reports.on_error("watch", record.error());
+      continue;
+    }
+    m_reports.on_preset(std::move(record.value()));
+  }
+  return true;
+}
+
+void PlatformWorkers::RunRead() {
+  Backoff backoff;
+  uint64_t done_refresh = 0;
+  TimePoint next_list = SystemClock().Now();
+  TimePoint next_preset = next_list;
+  while (true) {
+    uint64_t refresh = 0;
+    bool need_preset = false;
+    {
+      const std::lock_guard<std::mutex> lock(m_mutex);
+      if (m_stopped) {
+        return;
+      }
+      refresh = m_refresh;
+      need_preset = !m_preset_known && !m_watching;
+    }
+    const bool forced = refresh != done_refresh;
+    if (forced || (need_preset && SystemClock().Now() >= next_preset)) {
+      const bool read = ReadPreset(refresh);
+      if (read) {
+        backoff.Reset();
+      }
+      next_preset = SystemClock().Now() + backoff.Next();
+    }
+    if (forced || SystemClock().Now() >= next_list) {
+      ReadList(refresh);
+      next_list = SystemClock().Now() + m_options.list_interval;
+    }
+    done_refresh = refresh;
+    const TimePoint wake_at = need_preset ? std::min(next_list, next_preset) : next_list;
+    if (!Pause(wake_at, [&] {
+          const bool needs = !m_preset_known && !m_watching;
+          return m_refresh != done_refresh || (needs && !need_preset);
+        })) {
+      return;
+    }
+  }
+}
+
+bool PlatformWorkers::ReadPreset(uint64_t refresh) {
+  const Result<std::optional<KvEntry>> entry = m_dependencies.kv->Get(kCurrentPresetKey);
+  if (!entry) {
+    m_reports.on_error("preset", entry.error());
+  } else if (entry.value()) {
+    Result<PresetRecord> record = DecodePresetRecord(entry.value()->value);
+    if (record) {
+      m_reports.on_preset(std::move(record.value()));
+    } else {
+      m_reports.on_error("preset", record.error());
+    }
+  }
+  m_reports.on_preset_read(refresh);
+  return entry.has_value();
+}
+
+void PlatformWorkers::ReadList(uint64_t refresh) {
+  Result<std::vector<ListedInstance>> list = m_dependencies.list->Fetch();
+  if (list) {
+    m_reports.on_list(std::move(list.value()));
+  } else {
+    m_reports.on_error("list", list.error());
+  }
+  m_reports.on_list_read(refresh);
+}
+
+}  // namespace azuregw
--- /dev/null
+++ b/src/control/platform_workers.h
@@ -0,0 +1,85 @@
+// Threads that make the blocking calls to the platform for the control thread.
+//
+// The watch thread waits on the preset key while this instance is a watcher. The read thread polls
+// the list and reads the preset when that is asked for, or while none is known.
+
+#ifndef SRC_CONTROL_PLATFORM_WORKERS_H_
+#define SRC_CONTROL_PLATFORM_WORKERS_H_
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <vector>
+
+#include "azuregw/control/control_loop.h"
+#include "azuregw/preset/preset_record.h"
+
+namespace azuregw {
+
+// Called on worker threads. `refresh` is the number of the latest Refresh before the call started.
+struct PlatformReports {
+  std::function<void(PresetRecord record)> on_preset;
+  std::function<void(uint64_t refresh)> on_preset_read;  // With or without an answer.
+  std::function<void(std::vector<ListedInstance> list)> on_list;
+  std::function<void(uint64_t refresh)> on_list_read;
+  // A call failed; `what` is "preset", "list" or "watch".
+  std::function<void(const char* what, const Error& error)> on_error;
+};
+
+class PlatformWorkers {
+ public:
+  PlatformWorkers(const ControlOptions& options, const ControlDependencies& dependencies,
+                  PlatformReports reports);
+  ~PlatformWorkers();
+
+  void Start();
+  void Stop();
+
+  // Thread-safe; none of them blocks.
+  void SetWatching(bool watching);
+  void SetPresetKnown(bool known);
+  void Refresh(uint64_t number);
+
+ private:
+  // Delays between failed calls: doubles from the first to the last.
+  class Backoff {
+   public:
+    Milliseconds Next();
+    void Reset() { m_delay = kFirst; }
+
+   private:
+    static constexpr Milliseconds kFirst{100};
+    static constexpr Milliseconds kLast{2000};
+    Milliseconds m_delay = kFirst;
+  };
+
+  void RunWatch();
+  void RunRead();
+  // Returns whether the call succeeded.
+  bool WatchOnce(uint64_t* after);
+  bool ReadPreset(uint64_t refresh);
+  void ReadList(uint64_t refresh);
+  // Waits until `deadline` or until Stop or `wake` holds; returns whether to go on.
+  bool Pause(TimePoint deadline, const std::function<bool()>& wake);
+
+  const ControlOptions m_options;
+  const ControlDependencies m_dependencies;
+  const PlatformReports m_reports;
+
+  std::mutex m_mutex;
+  std::condition_variable m_changed;
+  bool m_stopped = false;
+  bool m_watching = false;
+  bool m_preset_known = false;
+  uint64_t m_refresh = 0;  // Latest number asked for.
+
+  std::thread m_watch_thread;
+  std::thread m_read_thread;
+};
+
+}  // namespace azuregw
+
+#endif  // SRC_CONTROL_PLATFORM_WORKERS_H_
--- /dev/null
+++ b/src/logging/log.cc
@@ -0,0 +1,149 @@
+// glog output as JSON lines.
+
+#include "azuregw/logging/log.h"
+
+#include <glog/logging.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <cstdio>
+#include <ctime>
+#include <nlohmann/json.hpp>
+
+namespace azuregw {
+namespace {
+
+// Fields of the LogEvent call in progress on this thread; glog calls the sink on the same thread.
+struct EventFields {
+  LogLevel level;
+  std::string_view component;
+  std::string_view event;
+  std::string_view request_id;
+  ResultCode code;
+};
+thread_local const EventFields* t_fields = nullptr;
+
+// Before InitLogging, lines go to glog's own output.
+std::atomic<LogLevel> g_level{LogLevel::kInfo};
+
+std::string_view LevelText(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return "debug";
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarning:
+      return "warning";
+    case LogLevel::kError:
+      return "error";
+  }
+  return "error";
+}
+
+LogLevel LevelOf(google::LogSeverity severity) {
+  switch (severity) {
+    case google::GLOG_INFO:
+      return LogLevel::kInfo;
+    case google::GLOG_WARNING:
+      return LogLevel::kWarning;
+    default:
+      return LogLevel::kError;
+  }
+}
+
+google::LogSeverity SeverityOf(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+    case LogLevel::kInfo:
+      return google::GLOG_INFO;
+    case LogLevel::kWarning:
+      return google::GLOG_WARNING;
+    case LogLevel::kError:
+      return google::GLOG_ERROR;
+  }
+  return google::GLOG_ERROR;
+}
+
+// UTC with microseconds, such as "2026-01-02T03:04:05.000006Z".
+std::string TimeText(const google::LogMessageTime& time) {
+  const std::time_t seconds = static_cast<std::time_t>(time.timestamp());
+  std::tm parts = {};
+  gmtime_r(&seconds, &parts);
+  char text[40];
+  const size_t length = std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &parts);
+  std::snprintf(text + length, sizeof(text) - length, ".%06dZ", static_cast<int>(time.usec()));
+  return text;
+}
+
+class JsonSink final : public google::LogSink {
+ public:
+  explicit JsonSink(LogIdentity identity) : m_identity(std::move(identity)) {}
+
+  void send(google::LogSeverity severity, const char* /*full_filename*/,
+            const char* /*base_filename*/, int /*line*/, const google::LogMessageTime& time,
+            const char* message, size_t message_length) override {
+    EventFields fields = {LevelOf(severity), "process", "log", "", ResultCode::kOk};
+    if (t_fields != nullptr) {
+      fields = *t_fields;
+    }
+    if (fields.level < g_level.load(std::memory_order_relaxed)) {
+      return;
+    }
+    std::string line =
+        FormatLogLine(m_identity, TimeText(time), fields.level, fields.component, fields.event,
+                      fields.request_id, fields.code, std::string_view(message, message_length));
+    line.push_back('\n');
+    // One write per line, so that lines of several threads are not mixed. A failed write has no
+    // other place to be reported.
+    const ssize_t written = ::write(STDERR_FILENO, line.data(), line.size());
+    static_cast<void>(written);
+  }
+
+ private:
+  const LogIdentity m_identity;
+};
+
+}  // namespace
+
+void InitLogging(const LogIdentity& identity, LogLevel level) {
+  g_level = level;
+  if (!google::IsGoogleLoggingInitialized()) {
+    google::InitGoogleLogging("azuregw");
+  }
+  // Instances have no disks: no log files, and stderr only through the sink.
+  for (int severity = google::GLOG_INFO; severity < google::NUM_SEVERITIES; ++severity) {
+    google::SetLogDestination(severity, "");
+  }
+  google::SetStderrLogging(google::NUM_SEVERITIES);
+  // Owned by glog's list of sinks until the process ends.
+  google::AddLogSink(new JsonSink(identity));
+}
+
+void LogEvent(LogLevel level, std::string_view component, std::string_view event,
+              std::string_view request_id, ResultCode code, std::string_view message) {
+  if (level < g_level.load(std::memory_order_relaxed)) {
+    return;
+  }
+  const EventFields fields = {level, component, event, request_id, code};
+  t_fields = &fields;
+  google::LogMessage(__FILE__, __LINE__, SeverityOf(level)).stream() << message;
+  t_fields = nullptr;
+}
+
+std::string FormatLogLine(const LogIdentity& identity, std::string_view time, LogLevel level,
+                          std::string_view component, std::string_view event,
+                          std::string_view request_id, ResultCode code, std::string_view message) {
+  const nlohmann::ordered_json line = {{"time", time},
+                                       {"level", LevelText(level)},
+                                       {"instance", identity.instance},
+                                       {"failure_domain", identity.failure_domain},
+                                       {"component", component},
+                                       {"event", event},
+                                       {"request_id", request_id},
+                                       {"code", static_cast<int>(code)},
+                                       {"message", message}};
+  // Replaces bytes that are not UTF-8, which may come from other processes.
+  return line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+}  // namespace azuregw
--- /dev/null
+++ b/src/metrics/metrics.cc
@@ -0,0 +1,212 @@
+// Metrics over Boost.Accumulators.
+
+#include "azuregw/metrics/metrics.h"
+
+#include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <cinttypes>
+#include <cstdio>
+#include <map>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include "azuregw/base/clock.h"
+#include "azuregw/base/rendezvous.h"
+#include "metrics/process_usage.h"
+
+namespace azuregw {
+namespace {
+
+namespace acc = boost::accumulators;
+
+constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
+constexpr std::array<const char*, 3> kQuantileNames = {"0.5", "0.95", "0.99"};
+// Quantiles cover the observations of the last one to two periods.
+constexpr std::chrono::seconds kQuantilePeriod{60};
+constexpr size_t kShards = 16;
+// The estimator needs one observation per marker before its values mean anything.
+constexpr size_t kMinObservations = 2 * kQuantiles.size() + 3;
+
+using QuantileEstimator = acc::accumulator_set<double, acc::stats<acc::tag::extended_p_square>>;
+
+QuantileEstimator NewEstimator() {
+  return QuantileEstimator(acc::extended_p_square_probabilities = kQuantiles);
+}
+
+// Two estimators that start half a window apart; the older one is reported.
+class Summary {
+ public:
+  explicit Summary(TimePoint now)
+      : m_older(NewEstimator()), m_newer(NewEstimator()), m_turn(now + kQuantilePeriod) {}
+
+  void Observe(double value, TimePoint now) {
+    if (now >= m_turn) {
+      m_older = std::move(m_newer);
+      m_newer = NewEstimator();
+      m_older_count = m_newer_count;
+      m_newer_count = 0;
+      m_turn = now + kQuantilePeriod;
+    }
+    m_older(value);
+    m_newer(value);
+    ++m_older_count;
+    ++m_newer_count;
+    ++m_count;
+    m_sum += value;
+  }
+
+  uint64_t Count() const { return m_count; }
+  double Sum() const { return m_sum; }
+  bool HasQuantiles() const { return m_older_count >= kMinObservations; }
+  double Quantile(size_t index) const {
+    return acc::extended_p_square(m_older)[static_cast<std::ptrdiff_t>(index)];
+  }
+
+ private:
+  QuantileEstimator m_older;
+  QuantileEstimator m_newer;
+  uint64_t m_older_count = 0;
+  uint64_t m_newer_count = 0;
+  uint64_t m_count = 0;
+  double m_sum = 0;
+  TimePoint m_turn;
+};
+
+// Series are keyed by "name{labels}"; the character '{' is in no metric name.
+struct Shard {
+  std::mutex mutex;
+  std::unordered_map<std::string, double> counters;
+  std::unordered_map<std::string, double> gauges;
+  std::unordered_map<std::string, Summary> summaries;
+};
+
+const std::string& SeriesKey(std::string_view name, std::string_view labels) {
+  thread_local std::string key;
+  key.assign(name);
+  key.push_back('{');
+  key.append(labels);
+  return key;
+}
+
+std::string FormatNumber(double value) {
+  std::array<char, 32> text;
+  const int length = std::snprintf(text.data(), text.size(), "%.10g", value);
+  return std::string(text.data(), static_cast<size_t>(length));
+}
+
+std::string Braces(std::string_view labels, std::string_view more) {
+  if (labels.empty() && more.empty()) {
+    return "";
+  }
+  std::string text = "{" + std::string(labels);
+  if (!labels.empty() && !more.empty()) {
+    text += ",";
+  }
+  return text + std::string(more) + "}";
+}
+
+// Collects lines by metric name, because the format wants the series of one metric together.
+class TextBuilder {
+ public:
+  void Line(const std::string& name, const char* type, const std::string& suffix,
+            const std::string& labels, double value) {
+    Family& family = m_families[name];
+    family.type = type;
+    family.lines += name + suffix + labels + " " + FormatNumber(value) + "\n";
+  }
+  std::string Text() const {
+    std::string text;
+    for (const auto& [name, family] : m_families) {
+      text += "# TYPE " + name + " " + family.type + "\n" + family.lines;
+    }
+    return text;
+  }
+
+ private:
+  struct Family {
+    const char* type = "";
+    std::string lines;
+  };
+  std::map<std::string, Family> m_families;
+};
+
+std::pair<std::string, std::string> SplitKey(const std::string& key) {
+  const size_t brace = key.find('{');
+  return {key.substr(0, brace), key.substr(brace + 1)};
+}
+
+class ShardedMetrics final : public Metrics {
+ public:
+  void Add(std::string_view name, std::string_view labels, double amount) override {
+    const std::string& key = SeriesKey(name, labels);
+    Shard& shard = ShardOf(key);
+    const std::lock_guard<std::mutex> lock(shard.mutex);
+    shard.counters[key] += amount;
+  }
+
+  void Set(std::string_view name, std::string_view labels, double value) override {
+    const std::string& key = SeriesKey(name, labels);
+    Shard& shard = ShardOf(key);
+    const std::lock_guard<std::mutex> lock(shard.mutex);
+    shard.gauges[key] = value;
+  }
+
+  void Observe(std::string_view name, std::string_view labels, double value) override {
+    const TimePoint now = SystemClock().Now();
+    const std::string& key = SeriesKey(name, labels);
+    Shard& shard = ShardOf(key);
+    const std::lock_guard<std::mutex> lock(shard.mutex);
+    const auto it = shard.summaries.try_emplace(key, now).first;
+    it->second.Observe(value, now);
+  }
+
+  std::string PrometheusText() const override {
+    TextBuilder text;
+    for (Shard& shard : m_shards) {
+      const std::lock_guard<std::mutex> lock(shard.mutex);
+      AppendShard(shard, &text);
+    }
+    const ProcessUsage usage = ReadProcessUsage();
+    text.Line("process_cpu_seconds_total", "counter", "", "", usage.cpu_seconds);
+    text.Line("process_resident_memory_bytes", "gauge", "", "",
+              static_cast<double>(usage.resident_bytes));
+    text.Line("process_threads", "gauge", "", "", static_cast<double>(usage.threads));
+    return text.Text();
+  }
+
+ private:
+  static void AppendShard(const Shard& shard, TextBuilder* text) {
+    for (const auto& [key, value] : shard.counters) {
+      const auto [name, labels] = SplitKey(key);
+      text->Line(name, "counter", "", Braces(labels, ""), value);
+    }
+    for (const auto& [key, value] : shard.gauges) {
+      const auto [name, labels] = SplitKey(key);
+      text->Line(name, "gauge", "", Braces(labels, ""), value);
+    }
+    for (const auto& [key, summary] : shard.summaries) {
+      const auto [name, labels] = SplitKey(key);
+      for (size_t i = 0; summary.HasQuantiles() && i < kQuantiles.size(); ++i) {
+        const std::string quantile = std::string("quantile=\"") + kQuantileNames[i] + "\"";
+        text->Line(name, "summary", "", Braces(labels, quantile), summary.Quantile(i));
+      }
+      text->Line(name, "summary", "_sum", Braces(labels, ""), summary.Sum());
+      text->Line(name, "summary", "_count", Braces(labels, ""),
+                 static_cast<double>(summary.Count()));
+    }
+  }
+
+  Shard& ShardOf(const std::string& key) const { return m_shards[StableHash(key) % kShards]; }
+
+  mutable std::array<Shard, kShards> m_shards;
+};
+
+}  // namespace
+
+std::unique_ptr<Metrics> MakeMetrics() { return std::make_unique<ShardedMetrics>(); }
+
+}  // namespace azuregw
