--- a/tests/fakes/fake_engine.cc
+++ b/tests/fakes/fake_engine.cc
@@ -101,6 +101,10 @@
     m_reply_delay = milliseconds(request.QueryInt("ms", 0));
   } else if (request.path == "/test/drop_replies") {
     m_drop_replies = static_cast<int>(request.QueryInt("count", 0));
+  } else if (request.path == "/test/links") {  // PUT: {"address": ms}
+    for (const auto& [address, ms] : json::parse(request.body).items()) {
+      m_link_times[address] = microseconds(static_cast<int64_t>(ms.get<double>() * 1000));
+    }
   } else if (request.path == "/test/stats") {
     const auto age =
         std::chrono::duration_cast<milliseconds>(steady_clock::now() - m_last_new_sequence);
@@ -156,7 +160,25 @@
                            "&layer=" + std::to_string(fetch.at("layer").get<int>()) +
                            "&first_token=" + std::to_string(fetch.at("first_token").get<int>()) +
                            "&token_count=" + std::to_string(fetch.at("token_count").get<int>());
-  SendHttp("GET", fetch.at("address").get<std::string>(), path, "",
+  const std::string address = fetch.at("address").get<std::string>();
+  microseconds link_time{0};
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const auto found = m_link_times.find(address);
+    link_time = found == m_link_times.end() ? link_time : found->second;
+  }
+  auto fetch_now = [this, address, path, step = std::move(step)]() mutable {
+    RequestInput(address, path, std::move(step));
+  };
+  if (link_time.count() == 0) {
+    fetch_now();
+  } else {
+    m_delays.RunAfter(link_time, std::move(fetch_now));
+  }
+}
+
+void FakeEngine::RequestInput(const std::string& address, const std::string& path, Step step) {
+  SendHttp("GET", address, path, "",
            [this, step = std::move(step)](int status, const std::string& body) mutable {
              if (status != 200) {
                Complete(step, StepError("fetch_failed"));
--- a/tests/fakes/fake_engine.h
+++ b/tests/fakes/fake_engine.h
@@ -82,6 +82,7 @@
   void HandleSteps(const FakeRequest& request, const ReplyFunction& reply);
   void PrepareStep(Step step);
   void FetchInput(Step step);
+  void RequestInput(const std::string& address, const std::string& path, Step step);
   void Enqueue(Step step);
   void Loop();
   std::chrono::microseconds IterationTime(const std::vector<Step>& batch);
@@ -115,6 +116,8 @@
   double m_slow_factor = 1.0;
   std::chrono::milliseconds m_reply_delay{0};
   int m_drop_replies = 0;
+  // Time of one fetch by the source's address; stands for the link between the two.
+  std::map<std::string, std::chrono::microseconds> m_link_times;
   uint64_t m_new_sequences = 0;
   Time m_last_new_sequence{};
   std::deque<std::pair<Time, nlohmann::json>> m_load_history;
