Add chain selection and admission

Chain selection builds, per topology revision, the graph of layer boundaries with this instance's subset of engines, and finds near-cheapest chains by dynamic programming over (boundary, failure domain). Admission combines an adaptive limit per target, weighted fair queueing between workspaces, early refusal by deadline and a retry budget.

LinkMs is declared in preset.h and defined by the preset module; programs that use chain selection link only together with that module. ChainSelector gains Prepare with an empty default, and both factories gain an overload with options, which tests use.

--- a/include/azuregw/admission/admission_controller.h
+++ b/include/azuregw/admission/admission_controller.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 
+#include "azuregw/admission/admission_options.h"
 #include "azuregw/base/clock.h"
 #include "azuregw/base/result.h"
 #include "azuregw/control/snapshot.h"
@@ -49,7 +50,10 @@
   virtual bool TakeRetry(const std::string& target, TimePoint now) = 0;
 };
 
+// `clock` must outlive the controller and its tickets; it is read when a ticket is destroyed.
 std::unique_ptr<AdmissionController> MakeAdmissionController(const Clock& clock);
+std::unique_ptr<AdmissionController> MakeAdmissionController(const Clock& clock,
+                                                             const AdmissionOptions& options);
 
 }  // namespace azuregw
 
--- a/include/azuregw/routing/chain_selector.h
+++ b/include/azuregw/routing/chain_selector.h
@@ -17,6 +17,7 @@
 #include "azuregw/control/snapshot.h"
 #include "azuregw/engine/engine_client.h"
 #include "azuregw/routing/chain.h"
+#include "azuregw/routing/selector_options.h"
 
 namespace azuregw {
 
@@ -29,6 +30,10 @@
  public:
   virtual ~ChainSelector() = default;
 
+  // Precomputes the graph of a new snapshot, so that no request waits for it. Optional: Select does
+  // it when it meets an unknown topology revision.
+  virtual void Prepare(const Snapshot& snapshot, TimePoint now) {}
+
   // Errors, all not_run: kUnknownModel, kNoChain.
   virtual Result<Chain> Select(const Snapshot& snapshot, const ChainRequest& request,
                                TimePoint now) = 0;
@@ -56,6 +61,8 @@
 };
 
 std::unique_ptr<ChainSelector> MakeChainSelector(std::unique_ptr<Random> random);
+std::unique_ptr<ChainSelector> MakeChainSelector(std::unique_ptr<Random> random,
+                                                 const SelectorOptions& options);
 
 }  // namespace azuregw
 
--- /dev/null
+++ b/src/admission/admission_core.cc
@@ -0,0 +1,331 @@
+// Admission decisions.
+
+#include "admission/admission_core.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <utility>
+
+#include "admission/capacity.h"
+
+namespace azuregw {
+namespace {
+
+constexpr double kSmoothing = 0.1;
+constexpr double kMinHintMs = 10;
+constexpr double kMaxHintMs = 60000;
+// A workspace may exceed its even share of max_inflight by this factor, because the load balancer
+// does not spread requests evenly.
+constexpr double kInflightSlack = 1.25;
+
+void Average(double sample, double* average) {
+  *average = *average == 0 ? sample : *average + kSmoothing * (sample - *average);
+}
+
+double MillisecondsOf(TimePoint::duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+int InstanceShare(int max_inflight, int instances) {
+  if (instances <= 1) {
+    return max_inflight;
+  }
+  return static_cast<int>(std::ceil(kInflightSlack * max_inflight / instances));
+}
+
+class Ticket final : public AdmissionTicket {
+ public:
+  Ticket(std::shared_ptr<AdmissionCore> core, std::string target, std::string workspace,
+         TimePoint admitted)
+      : m_core(std::move(core)),
+        m_target(std::move(target)),
+        m_workspace(std::move(workspace)),
+        m_admitted(admitted) {}
+  ~Ticket() override { m_core->Release(m_target, m_workspace, m_admitted); }
+
+  void OnFirstResult(Milliseconds latency) override { m_core->OnFirstResult(m_target, latency); }
+  void OnOverload() override { m_core->OnOverload(m_target); }
+
+ private:
+  const std::shared_ptr<AdmissionCore> m_core;
+  const std::string m_target;
+  const std::string m_workspace;
+  const TimePoint m_admitted;
+};
+
+}  // namespace
+
+void AdmissionCore::Admit(const Snapshot& snapshot, const AdmissionRequest& request, TimePoint now,
+                          AdmissionController::Callback done) {
+  if (snapshot.preset == nullptr) {
+    done(NotRun(ResultCode::kNoPreset, "no preset is in force"));
+    return;
+  }
+  Actions actions;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    Configure(snapshot);
+    Target& target = FindTarget(request.target);
+    Workspace& workspace = FindWorkspace(request.workspace);
+    const std::string flow = m_options.fair_queueing ? request.workspace : std::string();
+    const double weight = m_options.fair_queueing ? workspace.weight : 1.0;
+    const int priority =
+        m_options.fair_queueing ? std::min(request.priority, workspace.priority) : 5;
+    WaitingRequest waiting{request.workspace, flow, priority, request.deadline, std::move(done)};
+    const size_t ahead = target.queue.Ahead(flow, weight, priority);
+    const bool free = target.inflight < target.limit.Limit();
+    const double wait_ms = free && target.queue.empty() ? 0 : WaitMs(target, ahead);
+    target.retries.OnFirstAttempt(now);
+    if (workspace.accepted >= workspace.max_inflight) {
+      Error error = NotRun(ResultCode::kWorkspaceLimit,
+                           "workspace " + request.workspace + " has its limit of " +
+                               std::to_string(workspace.max_inflight) +
+                               " requests in progress at this instance");
+      error.retry_after = Hint(target.hold_ms / std::max(1, workspace.accepted));
+      Refuse(std::move(waiting), std::move(error), &actions);
+    } else if (!CanMeet(target, wait_ms, request.deadline, now)) {
+      Refuse(std::move(waiting), TooLate(target, wait_ms, request.deadline, now), &actions);
+    } else if (free && target.queue.empty()) {
+      ++workspace.accepted;
+      target.queue.Charge(flow, weight);
+      Start(request.target, &target, std::move(waiting), now, &actions);
+    } else {
+      Enqueue(&target, std::move(waiting), weight, wait_ms, now, &actions);
+    }
+  }
+  Run(std::move(actions));
+}
+
+void AdmissionCore::Enqueue(Target* target, WaitingRequest request, double weight, double wait_ms,
+                            TimePoint now, Actions* actions) {
+  if (target->queue.size() >= m_options.max_waiting) {
+    const auto refuse = [&](WaitingRequest refused) {
+      Error error = NotRun(ResultCode::kOverloaded, "too many requests are waiting");
+      error.retry_after = Hint(wait_ms + target->first_ms - MillisecondsOf(refused.deadline - now));
+      Refuse(std::move(refused), std::move(error), actions);
+    };
+    std::optional<WaitingRequest> victim = target->queue.EvictFor(request.flow, weight);
+    if (!victim.has_value()) {
+      refuse(std::move(request));
+      return;
+    }
+    --m_workspaces[victim->workspace].accepted;
+    refuse(*std::move(victim));
+  }
+  ++m_workspaces[request.workspace].accepted;
+  target->queue.Push(std::move(request), weight);
+}
+
+void AdmissionCore::Tick(TimePoint now) {
+  Actions actions;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (auto& [name, target] : m_targets) {
+      // An upstream may have been added, so places can be free without a release.
+      StartWaiting(name, &target, now, &actions);
+      if (!target.queue.empty()) {
+        std::vector<WaitingRequest> expired =
+            target.queue.RemoveIf([this, &target = target, now](const WaitingRequest& request) {
+              return !CanMeet(target, 0, request.deadline, now);
+            });
+        for (WaitingRequest& request : expired) {
+          --m_workspaces[request.workspace].accepted;
+          Error error = TooLate(target, WaitMs(target, target.queue.size()), request.deadline, now);
+          Refuse(std::move(request), std::move(error), &actions);
+        }
+      }
+      target.queue.Compact();
+    }
+  }
+  Run(std::move(actions));
+}
+
+void AdmissionCore::Shutdown() {
+  Actions actions;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (auto& [name, target] : m_targets) {
+      for (WaitingRequest& request : target.queue.RemoveIf([](const auto&) { return true; })) {
+        --m_workspaces[request.workspace].accepted;
+        Refuse(std::move(request), NotRun(ResultCode::kDraining, "the instance is shutting down"),
+               &actions);
+      }
+    }
+  }
+  Run(std::move(actions));
+}
+
+bool AdmissionCore::TakeRetry(const std::string& target, TimePoint now) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  const int percent = m_preset == nullptr ? 0 : m_preset->limits.retry_budget_percent;
+  return FindTarget(target).retries.Take(percent, now);
+}
+
+void AdmissionCore::OnFirstResult(const std::string& name, Milliseconds latency) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  Target& target = FindTarget(name);
+  Average(static_cast<double>(latency.count()), &target.first_ms);
+  if (m_options.adapt_limit) {
+    target.limit.OnResult(latency, target.inflight, m_clock.Now());
+  }
+}
+
+void AdmissionCore::OnOverload(const std::string& name) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  Target& target = FindTarget(name);
+  if (m_options.adapt_limit) {
+    target.limit.OnOverload(target.inflight, m_clock.Now());
+  }
+}
+
+void AdmissionCore::Release(const std::string& name, const std::string& workspace,
+                            TimePoint admitted) {
+  const TimePoint now = m_clock.Now();
+  Actions actions;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    Target& target = FindTarget(name);
+    assert(target.inflight > 0);
+    --target.inflight;
+    --m_workspaces[workspace].accepted;
+    Average(std::max(1e-3, MillisecondsOf(now - admitted)), &target.hold_ms);
+    StartWaiting(name, &target, now, &actions);
+  }
+  Run(std::move(actions));
+}
+
+void AdmissionCore::Configure(const Snapshot& snapshot) {
+  const int instances = std::max<int>(1, static_cast<int>(snapshot.members.size()));
+  const bool older = snapshot.topology_revision < m_topology_revision ||
+                     (m_preset != nullptr && snapshot.preset_revision < m_preset_revision);
+  const bool same = snapshot.preset == m_preset &&
+                    snapshot.topology_revision == m_topology_revision && instances == m_instances;
+  if (older || same) {
+    return;
+  }
+  m_preset = snapshot.preset;
+  m_preset_revision = snapshot.preset_revision;
+  m_topology_revision = snapshot.topology_revision;
+  m_instances = instances;
+  m_capacities = TargetCapacities(snapshot);
+  for (auto& [name, target] : m_targets) {
+    SetCapacity(name, &target);
+  }
+  for (auto entry = m_workspaces.begin(); entry != m_workspaces.end();) {
+    const bool unused =
+        entry->second.accepted == 0 && m_preset->workspaces.count(entry->first) == 0;
+    if (unused) {
+      entry = m_workspaces.erase(entry);
+    } else {
+      ApplySpec(entry->first, &entry->second);
+      ++entry;
+    }
+  }
+}
+
+void AdmissionCore::SetCapacity(const std::string& name, Target* target) const {
+  const auto capacity = m_capacities.find(name);
+  target->limit.SetCapacity(capacity == m_capacities.end() ? 1 : capacity->second, m_instances);
+}
+
+void AdmissionCore::ApplySpec(const std::string& name, Workspace* workspace) const {
+  const auto found = m_preset->workspaces.find(name);
+  const WorkspaceSpec spec = found == m_preset->workspaces.end() ? WorkspaceSpec() : found->second;
+  workspace->max_inflight = InstanceShare(spec.max_inflight, m_instances);
+  workspace->weight = std::max(spec.weight, 1e-3);
+  workspace->priority = spec.priority;
+}
+
+AdmissionCore::Target& AdmissionCore::FindTarget(const std::string& name) {
+  const auto [entry, added] = m_targets.try_emplace(name, m_options.limit);
+  if (added) {
+    SetCapacity(name, &entry->second);
+  }
+  return entry->second;
+}
+
+AdmissionCore::Workspace& AdmissionCore::FindWorkspace(const std::string& name) {
+  const auto [entry, added] = m_workspaces.try_emplace(name);
+  if (added) {
+    ApplySpec(name, &entry->second);
+  }
+  return entry->second;
+}
+
+void AdmissionCore::Start(const std::string& name, Target* target, WaitingRequest request,
+                          TimePoint now, Actions* actions) {
+  ++target->inflight;
+  auto ticket = std::make_shared<Ticket>(shared_from_this(), name, request.workspace, now);
+  actions->push_back([done = std::move(request.done), ticket = std::move(ticket)]() mutable {
+    done(std::shared_ptr<AdmissionTicket>(std::move(ticket)));
+  });
+}
+
+void AdmissionCore::StartWaiting(const std::string& name, Target* target, TimePoint now,
+                                 Actions* actions) {
+  while (target->inflight < target->limit.Limit() && !target->queue.empty()) {
+    WaitingRequest request = *target->queue.Pop();
+    if (CanMeet(*target, 0, request.deadline, now)) {
+      Start(name, target, std::move(request), now, actions);
+    } else {
+      --m_workspaces[request.workspace].accepted;
+      Error error = TooLate(*target, WaitMs(*target, target->queue.size()), request.deadline, now);
+      Refuse(std::move(request), std::move(error), actions);
+    }
+  }
+}
+
+void AdmissionCore::Refuse(WaitingRequest request, Error error, Actions* actions) {
+  actions->push_back([done = std::move(request.done), error = std::move(error)]() { done(error); });
+}
+
+double AdmissionCore::WaitMs(const Target& target, size_t ahead) const {
+  // Places become free at the rate limit / hold time.
+  return static_cast<double>(ahead + 1) * target.hold_ms / target.limit.Limit();
+}
+
+bool AdmissionCore::CanMeet(const Target& target, double wait_ms, TimePoint deadline,
+                            TimePoint now) const {
+  const double left_ms = MillisecondsOf(deadline - now);
+  if (left_ms <= 0) {
+    return false;
+  }
+  // One request at a time is always let through: without results, a latency that was once too high
+  // would never be measured again.
+  if (!m_options.check_deadlines || target.inflight == 0) {
+    return true;
+  }
+  return wait_ms + target.first_ms <= left_ms;
+}
+
+Error AdmissionCore::TooLate(const Target& target, double wait_ms, TimePoint deadline,
+                             TimePoint now) const {
+  const double left_ms = MillisecondsOf(deadline - now);
+  Error error =
+      NotRun(ResultCode::kDeadlineUnreachable, "the deadline would pass before the first result");
+  error.retry_after = Hint(wait_ms + target.first_ms - left_ms);
+  return error;
+}
+
+Milliseconds AdmissionCore::Hint(double ms) {
+  return Milliseconds(static_cast<int64_t>(std::ceil(std::clamp(ms, kMinHintMs, kMaxHintMs))));
+}
+
+void AdmissionCore::Run(Actions actions) {
+  // A callback may destroy a ticket, which starts further requests. They are appended here rather
+  // than run in place, because a long queue would otherwise nest as deep as it is long.
+  thread_local Actions* running = nullptr;
+  if (running != nullptr) {
+    std::move(actions.begin(), actions.end(), std::back_inserter(*running));
+    return;
+  }
+  running = &actions;
+  for (size_t i = 0; i < actions.size(); ++i) {
+    const std::function<void()> action = std::move(actions[i]);
+    action();
+  }
+  running = nullptr;
+}
+
+}  // namespace azuregw
--- /dev/null
+++ b/src/admission/fair_queue.cc
@@ -0,0 +1,148 @@
+// Start-time fair queueing.
+
+#include "azuregw/admission/fair_queue.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <utility>
+
+namespace azuregw {
+
+void FairQueue::Push(WaitingRequest request, double weight) {
+  Flow& flow = m_flows[request.flow];
+  flow.weight = weight;
+  ++flow.waiting;
+  ++m_size;
+  const auto priority = static_cast<size_t>(std::clamp(request.priority, 0, kPriorities - 1));
+  flow.requests[priority].push_back(std::move(request));
+}
+
+std::optional<WaitingRequest> FairQueue::Pop() {
+  Flow* next = nullptr;
+  for (auto& [name, flow] : m_flows) {
+    if (flow.waiting > 0 && (next == nullptr || StartOf(flow) < StartOf(*next))) {
+      next = &flow;
+    }
+  }
+  if (next == nullptr) {
+    return std::nullopt;
+  }
+  ChargeFlow(next);
+  return TakeFirst(next);
+}
+
+void FairQueue::Charge(const std::string& name, double weight) {
+  Flow& flow = m_flows[name];
+  flow.weight = weight;
+  ChargeFlow(&flow);
+}
+
+size_t FairQueue::Ahead(const std::string& flow_name, double weight, int priority) const {
+  size_t own = 0;
+  double start = m_virtual_time;
+  const auto found = m_flows.find(flow_name);
+  if (found != m_flows.end()) {
+    start = StartOf(found->second);
+    for (int p = std::clamp(priority, 0, kPriorities - 1); p < kPriorities; ++p) {
+      own += found->second.requests[static_cast<size_t>(p)].size();
+    }
+  }
+  start += static_cast<double>(own) / weight;
+  size_t ahead = own;
+  for (const auto& [name, flow] : m_flows) {
+    if (flow.waiting == 0 || name == flow_name) {
+      continue;
+    }
+    const double earlier = (start - StartOf(flow)) * flow.weight;
+    if (earlier >= 0) {
+      ahead += std::min(flow.waiting, static_cast<size_t>(earlier) + 1);
+    }
+  }
+  return ahead;
+}
+
+std::optional<WaitingRequest> FairQueue::EvictFor(const std::string& arriving, double weight) {
+  const auto own = m_flows.find(arriving);
+  const size_t own_waiting = own == m_flows.end() ? 0 : own->second.waiting;
+  double most = static_cast<double>(own_waiting + 1) / weight;
+  Flow* victim = nullptr;
+  for (auto& [name, flow] : m_flows) {
+    const double excess = static_cast<double>(flow.waiting) / flow.weight;
+    if (name != arriving && excess > most) {
+      most = excess;
+      victim = &flow;
+    }
+  }
+  if (victim == nullptr) {
+    return std::nullopt;
+  }
+  return TakeLast(victim);
+}
+
+std::vector<WaitingRequest> FairQueue::RemoveIf(
+    const std::function<bool(const WaitingRequest&)>& expired) {
+  std::vector<WaitingRequest> removed;
+  for (auto& [name, flow] : m_flows) {
+    for (std::deque<WaitingRequest>& queue : flow.requests) {
+      const auto kept = std::stable_partition(
+          queue.begin(), queue.end(),
+          [&expired](const WaitingRequest& request) { return !expired(request); });
+      const auto count = static_cast<size_t>(queue.end() - kept);
+      std::move(kept, queue.end(), std::back_inserter(removed));
+      queue.erase(kept, queue.end());
+      flow.waiting -= count;
+      m_size -= count;
+    }
+  }
+  return removed;
+}
+
+void FairQueue::Compact() {
+  for (auto entry = m_flows.begin(); entry != m_flows.end();) {
+    const Flow& flow = entry->second;
+    const bool idle = flow.waiting == 0 && flow.next_start <= m_virtual_time;
+    entry = idle ? m_flows.erase(entry) : std::next(entry);
+  }
+}
+
+double FairQueue::StartOf(const Flow& flow) const {
+  return std::max(flow.next_start, m_virtual_time);
+}
+
+void FairQueue::ChargeFlow(Flow* flow) {
+  const double start = StartOf(*flow);
+  m_virtual_time = start;
+  flow->next_start = start + 1.0 / flow->weight;
+}
+
+WaitingRequest FairQueue::TakeFirst(Flow* flow) {
+  for (size_t p = kPriorities; p-- > 0;) {
+    std::deque<WaitingRequest>& queue = flow->requests[p];
+    if (!queue.empty()) {
+      WaitingRequest request = std::move(queue.front());
+      queue.pop_front();
+      --flow->waiting;
+      --m_size;
+      return request;
+    }
+  }
+  assert(false);
+  return {};
+}
+
+WaitingRequest FairQueue::TakeLast(Flow* flow) {
+  for (std::deque<WaitingRequest>& queue : flow->requests) {
+    if (!queue.empty()) {
+      WaitingRequest request = std::move(queue.back());
+      queue.pop_back();
+      --flow->waiting;
+      --m_size;
+      return request;
+    }
+  }
+  assert(false);
+  return {};
+}
+
+}  // namespace azuregw
--- /dev/null
+++ b/src/routing/outlier_detector.cc
@@ -0,0 +1,97 @@
+// Outlier ejection over the engines of one range.
+
+#include "azuregw/routing/outlier_detector.h"
+
+#include <algorithm>
+
+namespace azuregw {
+namespace {
+
+constexpr double kSmoothing = 0.1;
+// An engine that stayed healthy this long after an ejection starts again at the base duration.
+constexpr std::chrono::minutes kForgiveAfter{10};
+
+int64_t Nanoseconds(TimePoint time) { return time.time_since_epoch().count(); }
+
+double Median(std::vector<double>* values) {
+  const auto middle = values->begin() + static_cast<std::ptrdiff_t>(values->size() / 2);
+  std::nth_element(values->begin(), middle, values->end());
+  return *middle;
+}
+
+}  // namespace
+
+void EngineHealth::OnSuccess(double ms_per_token) {
+  m_failures.store(0, std::memory_order_relaxed);
+  const double old = LatencyMs();
+  const double next = old == 0.0 ? ms_per_token : old + kSmoothing * (ms_per_token - old);
+  m_latency_ms.store(next, std::memory_order_relaxed);
+  m_samples.fetch_add(1, std::memory_order_relaxed);
+}
+
+void EngineHealth::OnFailure() { m_failures.fetch_add(1, std::memory_order_relaxed); }
+
+bool EngineHealth::Ejected(TimePoint now) const {
+  return Nanoseconds(now) < m_ejected_until_ns.load(std::memory_order_relaxed);
+}
+
+OutlierDetector::OutlierDetector(const OutlierOptions& options) : m_options(options) {}
+
+std::vector<OutlierDetector::Ejection> OutlierDetector::Evaluate(gsl::span<const OutlierPeer> peers,
+                                                                 TimePoint now) const {
+  size_t ejected = 0;
+  for (const OutlierPeer& peer : peers) {
+    ejected += peer.health->Ejected(now) ? 1 : 0;
+  }
+  const size_t count = peers.size();
+  const auto share = static_cast<size_t>(m_options.max_ejected_share * static_cast<double>(count));
+  const size_t allowed = count == 0 ? 0 : std::min(share, count - 1);
+  std::vector<Ejection> ejections;
+  for (size_t i = 0; i < count && ejected < allowed; ++i) {
+    if (!peers[i].health->Ejected(now) && IsOutlier(peers[i], peers)) {
+      ejections.push_back({i, Eject(peers[i].health, now)});
+      ++ejected;
+    }
+  }
+  return ejections;
+}
+
+bool OutlierDetector::IsOutlier(const OutlierPeer& peer, gsl::span<const OutlierPeer> peers) const {
+  if (peer.health->ConsecutiveFailures() >= m_options.failures) {
+    return true;
+  }
+  if (peer.health->m_samples.load(std::memory_order_relaxed) < m_options.min_samples) {
+    return false;
+  }
+  std::vector<double> latencies;
+  for (const OutlierPeer& other : peers) {
+    if (other.kind == peer.kind && other.health->LatencyMs() > 0) {
+      latencies.push_back(other.health->LatencyMs());
+    }
+  }
+  if (static_cast<int>(latencies.size()) < m_options.min_peers) {
+    return false;
+  }
+  const double median = Median(&latencies);
+  return peer.health->LatencyMs() > m_options.latency_factor * median + peer.link_ms;
+}
+
+TimePoint OutlierDetector::Eject(EngineHealth* health, TimePoint now) const {
+  const int64_t last_end = health->m_ejected_until_ns.load(std::memory_order_relaxed);
+  const auto forgive = std::chrono::duration_cast<std::chrono::nanoseconds>(kForgiveAfter).count();
+  if (last_end != 0 && Nanoseconds(now) - last_end > forgive) {
+    health->m_ejections.store(0, std::memory_order_relaxed);
+  }
+  const int earlier = std::min(health->m_ejections.fetch_add(1), 10);
+  const Milliseconds duration =
+      std::min(m_options.base_duration * (1 << earlier), m_options.max_duration);
+  const TimePoint until = now + duration;
+  health->m_ejected_until_ns.store(Nanoseconds(until), std::memory_order_relaxed);
+  // The engine is measured afresh when it returns.
+  health->m_failures.store(0, std::memory_order_relaxed);
+  health->m_latency_ms.store(0.0, std::memory_order_relaxed);
+  health->m_samples.store(0, std::memory_order_relaxed);
+  return until;
+}
+
+}  // namespace azuregw
--- /dev/null
+++ b/src/routing/prefix_cache_index.cc
@@ -0,0 +1,118 @@
+// Index of prompt prefixes by hash.
+
+#include "azuregw/routing/prefix_cache_index.h"
+
+#include <algorithm>
+#include <mutex>
+
+namespace azuregw {
+namespace {
+
+constexpr size_t kMaxLookups = 32;
+constexpr size_t kMaxMatches = 16;
+constexpr size_t kMaxHolders = 16;
+
+}  // namespace
+
+void PrefixCacheIndex::OnEvents(uint32_t engine, const CacheEvents& events) {
+  const std::unique_lock<std::shared_mutex> lock(m_mutex);
+  EngineCache& cache = m_engines[engine];
+  for (const CacheEvent& event : events.events) {
+    if (cache.seen && event.id < cache.next_id) {
+      continue;  // Already applied.
+    }
+    if (cache.seen && event.id > cache.next_id) {
+      ++cache.epoch;
+    }
+    cache.seen = true;
+    cache.next_id = event.id + 1;
+    if (event.stored) {
+      Store(engine, cache.epoch, event.prefix_hash);
+    } else {
+      Evict(engine, event.prefix_hash);
+    }
+  }
+  if (events.next > cache.next_id) {
+    if (cache.seen) {
+      ++cache.epoch;  // The engine is ahead of its last event here: events were lost.
+    }
+    cache.next_id = events.next;
+    cache.seen = true;
+  }
+}
+
+void PrefixCacheIndex::Forget(uint32_t engine) {
+  const std::unique_lock<std::shared_mutex> lock(m_mutex);
+  EngineCache& cache = m_engines[engine];
+  ++cache.epoch;
+  cache.seen = false;
+  cache.next_id = 0;
+}
+
+void PrefixCacheIndex::Find(gsl::span<const uint64_t> prefix_hashes,
+                            std::vector<Match>* matches) const {
+  const std::shared_lock<std::shared_mutex> lock(m_mutex);
+  const size_t lookups = std::min(prefix_hashes.size(), kMaxLookups);
+  for (size_t i = 0; i < lookups && matches->size() < kMaxMatches; ++i) {
+    const size_t length = prefix_hashes.size() - i;
+    const auto found = m_holders.find(prefix_hashes[length - 1]);
+    if (found == m_holders.end()) {
+      continue;
+    }
+    for (const Holder& holder : found->second) {
+      if (m_engines.at(holder.engine).epoch != holder.epoch) {
+        continue;
+      }
+      const bool known = std::any_of(matches->begin(), matches->end(), [&holder](const Match& m) {
+        return m.engine == holder.engine;
+      });
+      if (!known) {
+        matches->push_back({holder.engine, length});
+      }
+    }
+  }
+}
+
+size_t PrefixCacheIndex::size() const {
+  const std::shared_lock<std::shared_mutex> lock(m_mutex);
+  return m_holders.size();
+}
+
+void PrefixCacheIndex::Store(uint32_t engine, uint32_t epoch, uint64_t prefix_hash) {
+  const auto [entry, added] = m_holders.try_emplace(prefix_hash);
+  std::vector<Holder>& holders = entry->second;
+  holders.erase(std::remove_if(holders.begin(), holders.end(),
+                               [this, engine](const Holder& holder) {
+                                 return holder.engine == engine ||
+                                        m_engines.at(holder.engine).epoch != holder.epoch;
+                               }),
+                holders.end());
+  if (holders.size() == kMaxHolders) {
+    holders.erase(holders.begin());
+  }
+  holders.push_back({engine, epoch});
+  if (!added) {
+    return;
+  }
+  m_order.push_back(prefix_hash);
+  while (m_holders.size() > m_max_prefixes || m_order.size() > 2 * m_max_prefixes) {
+    m_holders.erase(m_order.front());
+    m_order.pop_front();
+  }
+}
+
+void PrefixCacheIndex::Evict(uint32_t engine, uint64_t prefix_hash) {
+  const auto found = m_holders.find(prefix_hash);
+  if (found == m_holders.end()) {
+    return;
+  }
+  std::vector<Holder>& holders = found->second;
+  holders.erase(std::remove_if(holders.begin(), holders.end(),
+                               [engine](const Holder& holder) { return holder.engine == engine; }),
+                holders.end());
+  if (holders.empty()) {
+    m_holders.erase(found);
+  }
+}
+
+}  // namespace azuregw
--- /dev/null
+++ b/tests/admission/admission_controller_test.cc
@@ -0,0 +1,170 @@
+// Admission: every request gets one answer, refusals are honest, and shares hold.
+
+#include "azuregw/admission/admission_controller.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace azuregw {
+namespace {
+
+class FakeClock final : public Clock {
+ public:
+  TimePoint Now() const override { return now; }
+  int64_t WallMs() const override { return 0; }
+  TimePoint now{std::chrono::hours(1)};
+};
+
+using Outcome = std::optional<Result<std::shared_ptr<AdmissionTicket>>>;
+
+struct Fixture {
+  explicit Fixture(int capacity = 2) {
+    ServiceUpstreamSpec upstream{"bookings-1", "bookings", "127.0.0.1:9101", "fd-a", capacity};
+    preset->service_upstreams["bookings-1"] = upstream;
+    snapshot = MakeSnapshot();
+  }
+  std::shared_ptr<Snapshot> MakeSnapshot() const {
+    auto made = std::make_shared<Snapshot>();
+    made->preset = preset;
+    return made;
+  }
+  std::shared_ptr<Outcome> Admit(const std::string& workspace, int deadline_ms = 10000,
+                                 int priority = 5) {
+    auto outcome = std::make_shared<Outcome>();
+    AdmissionRequest request;
+    request.workspace = workspace;
+    request.target = "service/bookings";
+    request.priority = priority;
+    request.deadline = clock.now + Milliseconds(deadline_ms);
+    controller->Admit(snapshot, request, clock.now, [outcome](auto result) {
+      BOOST_REQUIRE(!outcome->has_value());  // Exactly one answer.
+      outcome->emplace(std::move(result));
+    });
+    return outcome;
+  }
+  static bool Admitted(const std::shared_ptr<Outcome>& o) {
+    return o->has_value() && (*o)->has_value();
+  }
+  static bool Refused(const std::shared_ptr<Outcome>& o, ResultCode code) {
+    return o->has_value() && (*o)->has_error() && (*o)->error().code == code &&
+           (*o)->error().outcome == RunOutcome::kNotRun && (*o)->error().retry_after.has_value();
+  }
+  // Runs one request for `ms`, so that hold time and first-result latency are known.
+  void Measure(int ms) {
+    const auto outcome = Admit("measure");
+    clock.now += Milliseconds(ms);
+    (*outcome)->value()->OnFirstResult(Milliseconds(ms));
+    outcome->reset();
+  }
+
+  FakeClock clock;
+  std::shared_ptr<Preset> preset = std::make_shared<Preset>();
+  std::shared_ptr<Snapshot> snapshot;
+  std::unique_ptr<AdmissionController> controller = MakeAdmissionController(clock);
+};
+
+BOOST_AUTO_TEST_SUITE(admission_controller)
+
+// Guards against more requests in progress than the upstreams can run, and against lost waiters.
+BOOST_AUTO_TEST_CASE(waiting_request_starts_when_a_place_is_free) {
+  Fixture f(2);
+  auto a = f.Admit("w");
+  auto b = f.Admit("w");
+  auto c = f.Admit("w");
+  BOOST_TEST(Fixture::Admitted(a));
+  BOOST_TEST(Fixture::Admitted(b));
+  BOOST_TEST(!c->has_value());
+  a->reset();
+  BOOST_TEST(Fixture::Admitted(c));
+}
+
+// Guards against requests that wait although they cannot be answered in time.
+BOOST_AUTO_TEST_CASE(unreachable_deadline_is_refused_early) {
+  Fixture f(1);
+  f.Measure(1000);
+  auto running = f.Admit("w");
+  auto hopeless = f.Admit("w", 500);
+  BOOST_TEST(Fixture::Refused(hopeless, ResultCode::kDeadlineUnreachable));
+  auto patient = f.Admit("w", 5000);
+  BOOST_TEST(!patient->has_value());
+  f.clock.now += Milliseconds(4500);
+  f.controller->Tick(f.clock.now);
+  BOOST_TEST(Fixture::Refused(patient, ResultCode::kDeadlineUnreachable));
+}
+
+// Guards against a workspace that takes all places.
+BOOST_AUTO_TEST_CASE(workspace_limit) {
+  Fixture f(10);
+  f.preset->workspaces["w"].max_inflight = 2;
+  auto a = f.Admit("w");
+  auto b = f.Admit("w");
+  BOOST_TEST(Fixture::Refused(f.Admit("w"), ResultCode::kWorkspaceLimit));
+  BOOST_TEST(Fixture::Admitted(f.Admit("x")));
+  a->reset();
+  BOOST_TEST(Fixture::Admitted(f.Admit("w")));
+}
+
+// Guards against priorities that are ignored within a workspace.
+BOOST_AUTO_TEST_CASE(priority_orders_a_workspace) {
+  Fixture f(1);
+  f.preset->workspaces["w"].priority = 9;
+  auto running = f.Admit("w");
+  auto low = f.Admit("w", 10000, 1);
+  auto high = f.Admit("w", 10000, 8);
+  running->reset();
+  BOOST_TEST(Fixture::Admitted(high));
+  BOOST_TEST(!low->has_value());
+}
+
+// Guards against waiting callers that are never answered when the instance stops.
+BOOST_AUTO_TEST_CASE(shutdown_refuses_waiting_requests) {
+  Fixture f(1);
+  auto running = f.Admit("w");
+  auto waiting = f.Admit("w");
+  f.controller.reset();
+  BOOST_REQUIRE(waiting->has_value());
+  BOOST_TEST(((*waiting)->error().code == ResultCode::kDraining));
+}
+
+// Guards against recursion as deep as the queue when callbacks end their request at once.
+BOOST_AUTO_TEST_CASE(callbacks_that_release_at_once_do_not_nest) {
+  Fixture f(1);
+  auto running = f.Admit("w");
+  int depth = 0;
+  int deepest = 0;
+  int answered = 0;
+  for (int i = 0; i < 900; ++i) {
+    AdmissionRequest request{"w", "service/bookings", 5, f.clock.now + Milliseconds(10000)};
+    f.controller->Admit(f.snapshot, request, f.clock.now, [&](auto result) {
+      deepest = std::max(deepest, ++depth);
+      { const auto dropped = std::move(result); }
+      ++answered;
+      --depth;
+    });
+  }
+  running->reset();
+  BOOST_TEST(answered == 900);
+  BOOST_TEST(deepest == 1);
+}
+
+// Guards against retries that multiply an overload.
+BOOST_AUTO_TEST_CASE(retries_are_a_share_of_first_attempts) {
+  Fixture f(10);
+  for (int i = 0; i < 200; ++i) {
+    f.Admit("w");
+  }
+  int taken = 0;
+  while (f.controller->TakeRetry("service/bookings", f.clock.now)) {
+    ++taken;
+  }
+  BOOST_TEST(taken == 23);  // Ten in a hundred, and the reserve of three.
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace azuregw
