Add the engine and service clients and the pipeline state machine

The HTTP clients batch steps per engine, give each step its own timeout and send calls that must not be repeated over connections of their own. PipelineSession holds the decisions on prefill, decode, repair and resume.

--- /dev/null
+++ b/include/azuregw/engine/step_batcher.h
@@ -0,0 +1,53 @@
+// Decides which waiting steps of one engine travel together in the next call.
+
+#ifndef AZUREGW_ENGINE_STEP_BATCHER_H_
+#define AZUREGW_ENGINE_STEP_BATCHER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <vector>
+
+namespace azuregw {
+
+struct StepBatcherOptions {
+  int max_inflight_batches = 2;  // One call runs at the engine while the next one is on its way.
+  size_t max_batch_steps = 256;
+  size_t max_waiting_steps = 4096;
+};
+
+// Not thread-safe; the owner serialises calls.
+class StepBatcher {
+ public:
+  explicit StepBatcher(StepBatcherOptions options);
+
+  // Queues a step; `alone` marks a prefill, which shares its call with no other step. Returns false
+  // when too many steps wait.
+  bool Add(uint64_t step, bool alone);
+
+  // Takes a step that waits out of the queue. Returns false when it does not wait.
+  bool Remove(uint64_t step);
+
+  // The steps of the next call, in order of arrival, or none when no call may be sent now. The
+  // owner reports the end of the call through OnBatchDone.
+  std::vector<uint64_t> NextBatch();
+
+  void OnBatchDone();
+
+  int inflight() const { return m_inflight; }
+  size_t waiting() const { return m_waiting.size(); }
+
+ private:
+  struct Waiting {
+    uint64_t step;
+    bool alone;
+  };
+
+  const StepBatcherOptions m_options;
+  std::deque<Waiting> m_waiting;  // In order of arrival.
+  int m_inflight = 0;             // 0 <= m_inflight <= max_inflight_batches.
+};
+
+}  // namespace azuregw
+
+#endif  // AZUREGW_ENGINE_STEP_BATCHER_H_
--- /dev/null
+++ b/src/pipeline/session_repair.cc
@@ -0,0 +1,216 @@
+// Repair of a sequence whose stage failed: replacement, KV import or recomputation.
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "azuregw/pipeline/pipeline_session.h"
+
+namespace azuregw {
+namespace {
+
+// Ends a sequence that fails everywhere; the deadline ends one whose engines come back late.
+constexpr int kMaxRepairsInRow = 16;
+constexpr Milliseconds kFirstBackoff{20};
+constexpr Milliseconds kMaxBackoff{1000};
+// A frozen engine never answers an import, and the caller waits meanwhile.
+constexpr Milliseconds kMaxImportWait{500};
+
+}  // namespace
+
+void PipelineSession::HandleStepFailure(int index, const Error& error) {
+  const Stage& stage = m_stages[index];
+  m_last_error = error;
+  Add(RecordEvent{"stage_failed", stage.engine.upstream, error.code});
+  const RepairKind move = stage.done > 0 ? RepairKind::kImport : RepairKind::kRecompute;
+  switch (error.code) {
+    case ResultCode::kStaleAttempt:
+      // Another instance continues the sequence, so it must not be cancelled.
+      FailWith(error, false);
+      return;
+    case ResultCode::kUpstreamLeaving:
+    case ResultCode::kUpstreamTimeout:
+      BeginRepair(index, move, error);
+      return;
+    case ResultCode::kOverloaded:
+      if (stage.done == 0) {
+        BeginRepair(index, RepairKind::kRecompute, error);
+      } else if (CountRepair(error)) {
+        WaitBeforeRetry(false);
+      }
+      return;
+    case ResultCode::kUnknownSequence:
+      // The engine lost its state, for example in a restart, but it answers.
+      if (m_repairs_in_row > 0) {
+        BeginRepair(index, RepairKind::kRecompute, error);
+      } else if (CountRepair(error)) {
+        Recompute(index, ChainStage(stage.engine));
+      }
+      return;
+    case ResultCode::kFetchFailed:
+      // The previous stage is taken as lost first, then the one that failed to fetch.
+      BeginRepair(index > 0 && m_fetch_failures++ % 2 == 0 ? index - 1 : index,
+                  RepairKind::kRecompute, error);
+      return;
+    default:
+      BeginRepair(index, RepairKind::kRecompute, error);
+  }
+}
+
+bool PipelineSession::CountRepair(const Error& error) {
+  ++m_repairs;
+  ++m_repairs_in_row;
+  if (m_repairs_in_row > kMaxRepairsInRow) {
+    FailWith(error, true);
+    return false;
+  }
+  return true;
+}
+
+void PipelineSession::BeginRepair(int index, RepairKind kind, const Error& error) {
+  m_last_error = error;
+  if (!CountRepair(error)) {
+    return;
+  }
+  Stage& stage = m_stages[index];
+  if (std::find(stage.excluded.begin(), stage.excluded.end(), stage.engine.upstream) ==
+      stage.excluded.end()) {
+    stage.excluded.push_back(stage.engine.upstream);
+  }
+  m_repair = Repair{index, kind, error.code, ChainStage()};
+  Select();
+}
+
+void PipelineSession::Select() {
+  const int index = m_repair.stage;
+  const Stage& stage = m_stages[index];
+  m_phase = Phase::kSelecting;
+  SelectReplacement select;
+  select.stage = index;
+  select.range = stage.engine.range;
+  select.excluded = stage.excluded;
+  select.previous_domain = index > 0 ? m_stages[index - 1].engine.failure_domain : "";
+  select.draws_on_budget = m_repairs_in_row > 1;
+  Add(std::move(select));
+}
+
+void PipelineSession::On(const ReplacementChosen& event) {
+  if (m_phase != Phase::kSelecting || event.stage != m_repair.stage) {
+    return;
+  }
+  if (event.replacement) {
+    m_repair.replacement = event.replacement.value();
+    AdoptReplacement();
+    return;
+  }
+  const ResultCode code = event.replacement.error().code;
+  if (code == ResultCode::kNoChain) {
+    // An engine that failed earlier may be back.
+    m_stages[m_repair.stage].excluded.clear();
+  }
+  m_last_error = event.replacement.error();
+  WaitBeforeRetry(true);
+}
+
+void PipelineSession::WaitBeforeRetry(bool select) {
+  m_phase = Phase::kBackoff;
+  m_backoff_selects = select;
+  const int doublings = std::min(m_waits_in_row++, 10);
+  const Milliseconds wait = std::min(kFirstBackoff * (1 << doublings), kMaxBackoff);
+  Add(ArmTimer{SessionTimer::kBackoff, m_now + wait});
+}
+
+void PipelineSession::OnBackoffOver() {
+  if (m_phase != Phase::kBackoff) {
+    return;
+  }
+  if (m_backoff_selects) {
+    Select();
+  } else {
+    RepeatStep();
+  }
+}
+
+void PipelineSession::AdoptReplacement() {
+  const int index = m_repair.stage;
+  const Stage& stage = m_stages[index];
+  const bool same_engine = m_repair.replacement.upstream == stage.engine.upstream;
+  if (m_repair.kind == RepairKind::kRecompute) {
+    Recompute(index, ChainStage(m_repair.replacement));
+    return;
+  }
+  if (same_engine) {
+    // The only engine of the range; it holds the sequence unless it says otherwise.
+    RepeatStep();
+    return;
+  }
+  m_phase = Phase::kImporting;
+  ++m_attempt;
+  m_in_flight = {index, SequenceName(stage), m_attempt, -1};
+  Add(ImportKv{index, m_repair.replacement.address, m_in_flight.sequence, m_attempt,
+               stage.engine.address});
+  Add(ArmTimer{SessionTimer::kImport, m_now + std::min(m_spec.step_timeout, kMaxImportWait)});
+}
+
+void PipelineSession::On(const ImportDone& event) {
+  const bool expected = m_phase == Phase::kImporting && event.stage == m_repair.stage;
+  if (!expected || !IsCurrent(event.sequence, event.attempt)) {
+    return;
+  }
+  const int index = m_repair.stage;
+  Stage& stage = m_stages[index];
+  if (!event.tokens || event.tokens.value() < stage.done) {
+    Recompute(index, ChainStage(m_repair.replacement));
+    return;
+  }
+  // The old engine may have run the step in flight before it gave up the sequence; the step is then
+  // answered from the stored result or refused, and does not run again.
+  const ChainStage old = std::exchange(stage.engine, m_repair.replacement);
+  Add(Cancel{old.address, SequenceName(stage), m_attempt});
+  if (index + 1 == static_cast<int>(m_stages.size())) {
+    m_outputs_base = m_outputs.size();
+  }
+  RecordReplacement(index, old.upstream, "kv_imported");
+  Advance();
+}
+
+void PipelineSession::Recompute(int index, const ChainStage& engine) {
+  Stage& stage = m_stages[index];
+  const std::string old_sequence = SequenceName(stage);
+  if (m_phase == Phase::kImporting) {
+    Add(Cancel{m_repair.replacement.address, old_sequence, m_attempt});
+  }
+  const ChainStage old = std::exchange(stage.engine, engine);
+  if (!old.address.empty()) {
+    Add(Cancel{old.address, old_sequence, m_attempt});
+  }
+  stage.epoch = NextEpoch();
+  stage.done = 0;
+  stage.retained_from = 0;
+  stage.retained.clear();
+  if (index + 1 == static_cast<int>(m_stages.size())) {
+    m_outputs_base = m_outputs.size();
+  }
+  RecordReplacement(index, old.upstream, "recomputed");
+  Advance();
+}
+
+void PipelineSession::RepeatStep() {
+  // An answer to the earlier attempt may still arrive; it is discarded.
+  ++m_attempt;
+  m_token_due = true;
+  Advance();
+}
+
+void PipelineSession::RecordReplacement(int index, const std::string& old_upstream,
+                                        const char* kind) {
+  m_token_due = true;
+  const std::string& new_upstream = m_stages[index].engine.upstream;
+  if (new_upstream != old_upstream) {
+    Add(StageReplaced{index, old_upstream, new_upstream});
+    Add(RecordEvent{"stage_replaced", new_upstream, m_last_error.code});
+  }
+  Add(RecordEvent{kind, new_upstream, m_last_error.code});
+}
+
+}  // namespace azuregw
