--- a/include/azuregw/base/result.h
+++ b/include/azuregw/base/result.h
@@ -28,6 +28,7 @@
   kInvalidResumeToken = 1010,
   kHeaderTooLarge = 1011,
   kMethodNotAllowed = 1012,
+  kCallerTooSlow = 1013,
   // 2xxx: routing, admission and upstreams.
   kNoChain = 2001,
   kUpstreamUnreachable = 2002,
--- a/src/base/result.cc
+++ b/src/base/result.cc
@@ -25,6 +25,7 @@
     {ResultCode::kInvalidResumeToken, "invalid_resume_token", 400},
     {ResultCode::kHeaderTooLarge, "header_too_large", 431},
     {ResultCode::kMethodNotAllowed, "method_not_allowed", 405},
+    {ResultCode::kCallerTooSlow, "caller_too_slow", 408},
     {ResultCode::kNoChain, "no_chain", 503},
     {ResultCode::kUpstreamUnreachable, "upstream_unreachable", 502},
     {ResultCode::kUpstreamTimeout, "upstream_timeout", 504},
