--- a/src/main/main.cc
+++ b/src/main/main.cc
@@ -1,3 +1,5 @@
 // Entry point of the azuregw binary.
 
-int main() { return 0; }
+#include "azuregw/cli/commands.h"
+
+int main(int argc, char** argv) { return azuregw::RunCommandLine(argc, argv); }
--- /dev/null
+++ b/src/serve/instance.cc
@@ -0,0 +1,191 @@
+// Builds an instance. Components are created in the order of their dependencies and stopped in the
+// reverse order.
+
+#include "azuregw/serve/instance.h"
+
+#include <atomic>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+
+#include "azuregw/admin/admin_server.h"
+#include "azuregw/base/listen_address.h"
+#include "azuregw/control/control_loop.h"
+#include "azuregw/discovery/http_instance_list.h"
+#include "azuregw/kv/http_key_value_store.h"
+#include "azuregw/logging/log.h"
+#include "azuregw/metrics/metrics.h"
+#include "azuregw/supervisor/supervisor.h"
+#include "serve/status_json.h"
+#include "serve/traffic.h"
+
+namespace azuregw {
+namespace {
+
+constexpr const char* kUpstreamsPath = "/admin/upstreams/";
+
+ControlOptions MakeControlOptions(const Settings& settings) {
+  ControlOptions options;
+  options.self = settings.instance.name;
+  options.failure_domain = settings.instance.failure_domain;
+  return options;
+}
+
+AdminReply JsonReply(const nlohmann::json& body) {
+  AdminReply reply;
+  reply.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return reply;
+}
+
+class RunningInstance final : public Instance {
+ public:
+  explicit RunningInstance(const Settings& settings)
+      : m_settings(settings),
+        m_metrics(MakeMetrics()),
+        m_kv(MakeHttpKeyValueStore(settings.platform.kv_address, settings.platform.call_timeout,
+                                   m_metrics.get())),
+        m_list(
+            MakeHttpInstanceList(settings.platform.list_address, settings.platform.call_timeout)),
+        m_supervisor(MakeSupervisor("root", SystemClock())) {
+    ControlDependencies control;
+    control.clock = &SystemClock();
+    control.kv = m_kv.get();
+    control.list = m_list.get();
+    control.metrics = m_metrics.get();
+    m_control = MakeControlLoop(MakeControlOptions(settings), control);
+    TrafficDependencies traffic;
+    traffic.clock = &SystemClock();
+    traffic.control = m_control.get();
+    traffic.kv = m_kv.get();
+    traffic.metrics = m_metrics.get();
+    m_traffic = MakeTraffic(settings, traffic);
+  }
+
+  ~RunningInstance() override { Stop(); }
+
+  Result<void> Start() override {
+    Result<std::string> admin_address = ChooseListenAddress(m_settings.admin.address);
+    if (!admin_address) {
+      return admin_address.error();
+    }
+    m_addresses.admin = std::move(admin_address.value());
+    m_admin = MakeAdminServer(m_addresses.admin, m_settings.admin.key);
+    RegisterHandlers();
+    const Result<void> admin = m_admin->Start();
+    if (!admin) {
+      return admin.error();
+    }
+    // The peer transport listens here, before members are told its address.
+    m_addresses.peer = m_settings.peer.address;
+    const Result<void> traffic = m_traffic->Start();
+    if (!traffic) {
+      return traffic.error();
+    }
+    m_addresses.caller = m_traffic->Address();
+    m_supervisor->SetProblemHandler(
+        [this](std::string problem) { m_control->OnComponents(std::move(problem)); });
+    // Components that can fail by themselves are added to the supervisor here.
+    const Result<void> supervised = m_supervisor->Start(nullptr);
+    if (!supervised) {
+      return supervised.error();
+    }
+    m_control->Start();
+    m_started = true;
+    return boost::outcome_v2::success();
+  }
+
+  InstanceAddresses Addresses() const override { return m_addresses; }
+
+  void BeginDrain() override { m_control->BeginDrain(); }
+  void StopAccepting() override { m_traffic->BeginDrain(); }
+  int InProgress() const override { return m_traffic->InProgress(); }
+  bool DrainAsked() const override { return m_drain_asked; }
+
+  int Stop() override {
+    if (!std::exchange(m_started, false)) {
+      return 0;
+    }
+    const int unwritten =
+        m_traffic->FlushOrders(SystemClock().Now() + m_settings.orders.flush_limit);
+    m_traffic->Stop();
+    m_admin->Stop();
+    m_control->Stop();
+    m_supervisor->Stop();
+    return unwritten;
+  }
+
+ private:
+  void RegisterHandlers() {
+    m_admin->Register("GET", "/readyz", [this](const AdminRequest&) { return ReadyReply(); });
+    m_admin->Register("GET", "/metrics", [this](const AdminRequest&) {
+      AdminReply reply;
+      reply.content_type = "text/plain; version=0.0.4";
+      reply.body = m_metrics->PrometheusText();
+      return reply;
+    });
+    m_admin->Register("GET", "/admin/status", [this](const AdminRequest&) {
+      return JsonReply(StatusToJson(*m_control->Current(), m_control->CurrentReadiness()));
+    });
+    m_admin->Register("POST", "/admin/drain", [this](const AdminRequest&) {
+      m_drain_asked = true;
+      return JsonReply({{"instance", m_settings.instance.name}, {"draining", true}});
+    });
+    const auto upstreams = [this](const AdminRequest& request) { return MarkUpstream(request); };
+    m_admin->Register("POST", kUpstreamsPath, upstreams);
+    m_admin->Register("DELETE", kUpstreamsPath, upstreams);
+  }
+
+  AdminReply ReadyReply() const {
+    const Readiness readiness = m_control->CurrentReadiness();
+    AdminReply reply = JsonReply({{"ready", readiness.ready},
+                                  {"code", static_cast<int>(readiness.code)},
+                                  {"name", ResultCodeName(readiness.code)}});
+    reply.status = readiness.ready ? 200 : 503;
+    return reply;
+  }
+
+  // POST and DELETE /admin/upstreams/<name>/leaving.
+  AdminReply MarkUpstream(const AdminRequest& request) {
+    constexpr std::string_view kSuffix = "/leaving";
+    const std::string rest = request.path.substr(std::string_view(kUpstreamsPath).size());
+    if (rest.size() <= kSuffix.size() ||
+        rest.compare(rest.size() - kSuffix.size(), kSuffix.size(), kSuffix) != 0) {
+      return MakeErrorReply(NotRun(ResultCode::kUnknownRoute, "no such path"));
+    }
+    const std::string name = rest.substr(0, rest.size() - kSuffix.size());
+    const std::shared_ptr<const Snapshot> snapshot = m_control->Current();
+    const bool known =
+        snapshot->preset != nullptr && (snapshot->preset->engines.count(name) != 0 ||
+                                        snapshot->preset->service_upstreams.count(name) != 0);
+    if (!known) {
+      return MakeErrorReply(NotRun(ResultCode::kInvalidField, "no upstream \"" + name + "\""));
+    }
+    const bool leaving = request.method == "POST";
+    if (leaving) {
+      m_control->OnUpstreamLeaving(name);
+    } else {
+      m_control->OnUpstreamReturned(name);
+    }
+    return JsonReply({{"upstream", name}, {"leaving", leaving}});
+  }
+
+  const Settings m_settings;
+  std::unique_ptr<Metrics> m_metrics;
+  std::unique_ptr<KeyValueStore> m_kv;
+  std::unique_ptr<InstanceList> m_list;
+  std::unique_ptr<Supervisor> m_supervisor;
+  std::unique_ptr<ControlLoop> m_control;
+  std::unique_ptr<Traffic> m_traffic;
+  std::unique_ptr<AdminServer> m_admin;
+  InstanceAddresses m_addresses;
+  std::atomic<bool> m_drain_asked{false};
+  bool m_started = false;
+};
+
+}  // namespace
+
+std::unique_ptr<Instance> MakeInstance(const Settings& settings) {
+  return std::make_unique<RunningInstance>(settings);
+}
+
+}  // namespace azuregw
