--- a/src/serve/instance.cc
+++ b/src/serve/instance.cc
@@ -37,6 +37,16 @@
   return reply;
 }
 
+// Takes events and refusals until the timeline and the ledger are connected.
+class NullRecorder final : public EventRecorder, public RefusalRecorder {
+ public:
+  void Record(std::string_view /*component*/, std::string_view /*event*/,
+              std::string_view /*request_id*/, std::string_view /*detail*/,
+              ResultCode /*code*/) override {}
+  void OnRefusal(const std::string& /*workspace*/, ResultCode /*reason*/,
+                 int64_t /*wall_ms*/) override {}
+};
+
 class RunningInstance final : public Instance {
  public:
   explicit RunningInstance(const Settings& settings)
@@ -58,6 +68,8 @@
     traffic.control = m_control.get();
     traffic.kv = m_kv.get();
     traffic.metrics = m_metrics.get();
+    traffic.events = &m_recorder;
+    traffic.refusals = &m_recorder;
     m_traffic = MakeTraffic(settings, traffic);
   }
 
@@ -170,6 +182,7 @@
   }
 
   const Settings m_settings;
+  NullRecorder m_recorder;
   std::unique_ptr<Metrics> m_metrics;
   std::unique_ptr<KeyValueStore> m_kv;
   std::unique_ptr<InstanceList> m_list;
--- a/src/serve/traffic.h
+++ b/src/serve/traffic.h
@@ -3,6 +3,7 @@
 #ifndef SRC_SERVE_TRAFFIC_H_
 #define SRC_SERVE_TRAFFIC_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -11,6 +12,9 @@
 #include "azuregw/config/settings.h"
 #include "azuregw/control/control_loop.h"
 #include "azuregw/metrics/metrics.h"
+#include "azuregw/orders/claim_forwarder.h"
+#include "azuregw/refusals/refusal_recorder.h"
+#include "azuregw/routing/chain_selector.h"
 #include "azuregw/timeline/event_recorder.h"
 
 namespace azuregw {
@@ -22,6 +26,11 @@
   KeyValueStore* kv = nullptr;
   Metrics* metrics = nullptr;
   EventRecorder* events = nullptr;
+  RefusalRecorder* refusals = nullptr;
+  // Replaces the chain selector; only benchmark programs set it, to compare policies.
+  std::function<std::unique_ptr<ChainSelector>()> make_selector;
+  // Where claims are committed; empty: in this instance.
+  std::function<std::unique_ptr<ClaimForwarder>(OrderCommitter*)> make_forwarder;
 };
 
 class Traffic {
