Smooth load reports in chain selection and show what each mechanism contributes

In the queue model (tests/routing/fleet_simulation.h: 30 engines, two kinds, links 0.1 to 50 ms, nine instances, reports 1 s old), instances that trusted lagging reports filled the same engines in turn. The sequences of other instances are now smoothed over 20 s; an own sequence counts at once.

Before, an engine whose cost was raised by failures or latency was never tried again. - After an ejection, one failure ejects again.

--- a/include/azuregw/routing/load_table.h
+++ b/include/azuregw/routing/load_table.h
@@ -16,7 +16,8 @@
 //
 // A report counts the sequences of all instances at the time it was made. The estimator remembers
 // how many of them were this instance's own at that time, and replaces that part by the current
-// local count. The part of other instances loses weight with age, because nothing newer is known.
+// local count. The part of other instances is smoothed, and loses weight with age, because nothing
+// newer is known.
 class LoadEstimator {
  public:
   void OnStart(TimePoint now);
@@ -29,16 +30,25 @@
   // instances when there is no recent report.
   double Sequences(TimePoint now, double unknown) const;
 
+  // The same without smoothing.
+  double UnsmoothedSequences(TimePoint now, double unknown) const;
+
+  // Sequences of all instances in the last report; `unknown` without one.
+  double Reported(double unknown) const;
+
  private:
   static constexpr int kHistorySlots = 32;
 
   void Remember(TimePoint now, int local);
   int LocalAt(TimePoint when) const;
+  double Combine(double others, TimePoint now, double unknown) const;
 
   std::atomic<int> m_local{0};
-  // Sequences of other instances in the last report; negative when there was no report.
+  // Smoothed sequences of other instances; negative when there was no report.
   std::atomic<double> m_others{-1.0};
-  std::atomic<int64_t> m_report_ns{0};  // When the last report was made, not received.
+  std::atomic<double> m_last_others{-1.0};  // The same without smoothing.
+  std::atomic<double> m_total{-1.0};        // Sequences of all instances in the last report.
+  std::atomic<int64_t> m_report_ns{0};      // When the last report was made, not received.
   // Local count at the end of recent time slots: slot number in the high half, count in the low
   // half.
   std::array<std::atomic<uint64_t>, kHistorySlots> m_history{};
--- a/include/azuregw/routing/selector_options.h
+++ b/include/azuregw/routing/selector_options.h
@@ -16,10 +16,13 @@
   size_t max_cached_prefixes = 16384;
   // Engines whose chain costs at most this share of the stage's cost more than the cheapest are
   // near-best.
-  double near_best = 0.25;
-  // Largest share of an engine's cost that a fully cached prompt saves.
-  double cache_discount = 0.4;
+  double near_best = 0.05;
+  // What a fully cached prompt saves, as a share of the engine's step time per token.
+  double cache_saving = 0.25;
   bool two_choices = true;
+  bool smooth_reports = true;
+  bool use_local_inflight = true;  // False: reports alone.
+  bool use_reports = true;         // False: this instance's own sequences alone.
   bool use_ejection = true;
   bool use_slow_start = true;
   OutlierOptions outliers;
--- a/src/routing/chain_search.cc
+++ b/src/routing/chain_search.cc
@@ -12,17 +12,34 @@
 // Batching makes a step at full capacity take twice as long as a step of a single sequence.
 constexpr double kBatchSlope = 1.0;
 // Beyond this utilisation, sequences wait for a place; the cost rises steeply.
-constexpr double kKnee = 0.85;
-constexpr double kQueueSlope = 20.0;
+constexpr double kKnee = 1.0;
+constexpr double kQueueSlope = 3.0;
 // Utilisation assumed for other instances when nothing is known.
 constexpr double kUnknownUtilisation = 0.5;
 constexpr double kMaxSlowdown = 100.0;
 constexpr int kMaxFailureShift = 6;
 
-// Measured latency relative to what the load explains, at least 1.
-double Slowdown(const PlannedEngine& engine, double unloaded_ms) {
-  const double measured = engine.record->health.LatencyMs() - engine.link_ms;
-  return std::clamp(measured / unloaded_ms, 1.0, kMaxSlowdown);
+// Factor on the cost for measured slowness and recent failures, at least 1.
+double Penalty(const PlannedEngine& engine, double unloaded_ms, TimePoint now) {
+  const EngineHealth& health = engine.record->health;
+  const double measured = health.LatencyMs() - engine.link_ms;
+  const double slowdown = std::clamp(measured / unloaded_ms, 1.0, kMaxSlowdown);
+  const int failures = std::min(health.ConsecutiveFailures(), kMaxFailureShift);
+  const double penalty = slowdown * static_cast<double>(1 << failures);
+  return penalty > 1.0 ? 1.0 + (penalty - 1.0) * health.Freshness(now) : 1.0;
+}
+
+double ExpectedSequences(const LoadEstimator& load, double capacity, const SelectorOptions& options,
+                         TimePoint now) {
+  const double unknown = kUnknownUtilisation * capacity;
+  if (!options.use_local_inflight) {
+    return load.Reported(unknown);
+  }
+  if (!options.use_reports) {
+    return load.LocalInflight();
+  }
+  return options.smooth_reports ? load.Sequences(now, unknown)
+                                : load.UnsmoothedSequences(now, unknown);
 }
 
 uint64_t NextRandom(uint64_t* state) {
@@ -33,30 +50,31 @@
   return value ^ (value >> 31);
 }
 
-double Discount(const PlannedEngine& engine, gsl::span<const PrefixCacheIndex::Match> matches,
-                size_t prefix_length, double most) {
+// Cost that the engine saves by holding a prefix of the prompt, in ms per token. It does not depend
+// on the load, so that a loaded engine loses its advantage.
+double CacheSaving(const PlannedEngine& engine, gsl::span<const PrefixCacheIndex::Match> matches,
+                   size_t prefix_length, double share) {
   for (const PrefixCacheIndex::Match& match : matches) {
     if (match.engine == engine.record->id) {
-      return 1.0 - most * static_cast<double>(match.length) / static_cast<double>(prefix_length);
+      const auto length = static_cast<double>(match.length);
+      return share * engine.spec->step_ms * length / static_cast<double>(prefix_length);
     }
   }
-  return 1.0;
+  return 0.0;
 }
 
 }  // namespace
 
-double ServiceMs(const PlannedEngine& engine, TimePoint now, bool use_slow_start) {
+double ServiceMs(const PlannedEngine& engine, const SelectorOptions& options, TimePoint now) {
   const EngineRecord& record = *engine.record;
   const double capacity = std::max(1, engine.spec->capacity);
-  const double usable = use_slow_start ? capacity * record.slow_start.Share(now) : capacity;
-  const double sequences = record.load.Sequences(now, kUnknownUtilisation * capacity);
+  const double usable = options.use_slow_start ? capacity * record.slow_start.Share(now) : capacity;
+  const double sequences = ExpectedSequences(record.load, capacity, options, now);
   const double utilisation = (sequences + 1.0) / usable;
   const double batch = 1.0 + kBatchSlope * std::min(utilisation, 1.0);
   const double queue = kQueueSlope * std::max(0.0, utilisation - kKnee);
   const double expected = engine.spec->step_ms * batch;
-  const int failures = std::min(record.health.ConsecutiveFailures(), kMaxFailureShift);
-  return (expected * Slowdown(engine, expected) + engine.spec->step_ms * queue) *
-         static_cast<double>(1 << failures);
+  return expected * Penalty(engine, expected, now) + engine.spec->step_ms * queue;
 }
 
 bool ChainSearch::Find(const ModelPlan& plan, const SelectorOptions& options,
@@ -103,9 +121,9 @@
         if (!usable) {
           continue;
         }
-        const double service = ServiceMs(engine, now, options.use_slow_start);
-        const double cost =
-            service * Discount(engine, matches, prefix_length, options.cache_discount);
+        const double service = ServiceMs(engine, options, now);
+        const double saving = CacheSaving(engine, matches, prefix_length, options.cache_saving);
+        const double cost = service - saving;
         const double tail =
             cost +
             m_best[static_cast<size_t>(group.to) * rows + static_cast<size_t>(engine.domain)];
--- a/src/routing/chain_search.h
+++ b/src/routing/chain_search.h
@@ -14,7 +14,7 @@
 namespace azuregw {
 
 // Expected time of one token at the engine, in ms, with one more sequence than now.
-double ServiceMs(const PlannedEngine& engine, TimePoint now, bool use_slow_start);
+double ServiceMs(const PlannedEngine& engine, const SelectorOptions& options, TimePoint now);
 
 // Dynamic programming over (boundary, failure domain), then one pass from the first layer to the
 // last that samples an engine per range. O(engines in the plan x failure domains). Keeps its
--- a/src/routing/chain_selector.cc
+++ b/src/routing/chain_selector.cc
@@ -123,7 +123,7 @@
   thread_local ChainSearch search;
   thread_local std::vector<PrefixCacheIndex::Match> matches;
   matches.clear();
-  if (!request.prefix_hashes.empty() && m_options.cache_discount > 0) {
+  if (!request.prefix_hashes.empty() && m_options.cache_saving > 0) {
     m_cache_index.Find(request.prefix_hashes, &matches);
   }
   const size_t prefix_length = request.prefix_hashes.size();
@@ -195,8 +195,7 @@
         std::find(excluded.begin(), excluded.end(), engine.spec->name) != excluded.end()) {
       continue;
     }
-    const double cost =
-        ServiceMs(engine, now, m_options.use_slow_start) + plan.Edge(previous, engine.domain);
+    const double cost = ServiceMs(engine, m_options, now) + plan.Edge(previous, engine.domain);
     const bool out = m_options.use_ejection && engine.record->health.Ejected(now);
     (out ? ejected : healthy).push_back({&engine, cost});
   }
@@ -219,12 +218,12 @@
   }
   switch (code) {
     case ResultCode::kOk:
-      record->health.OnSuccess(ms_per_token);
+      record->health.OnSuccess(ms_per_token, now);
       break;
     case ResultCode::kUpstreamUnreachable:
     case ResultCode::kUpstreamTimeout:
     case ResultCode::kUpstreamProtocol:
-      record->health.OnFailure();
+      record->health.OnFailure(now);
       break;
     case ResultCode::kUpstreamLeaving:
       record->leaving.OnRefusal(now);
--- a/src/routing/load_table.cc
+++ b/src/routing/load_table.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace azuregw {
 namespace {
@@ -12,6 +13,9 @@
 // Reports younger than kFresh count in full; at kExpired they no longer count.
 constexpr double kFreshNs = 3e9;
 constexpr double kExpiredNs = 30e9;
+// All instances act on equally old reports. Without smoothing, they fill and avoid the same engines
+// in turn; see docs/routing.md.
+constexpr double kSmoothingNs = 20e9;
 
 int64_t Nanoseconds(TimePoint time) { return time.time_since_epoch().count(); }
 
@@ -33,13 +37,27 @@
     return;  // Reports of steps to one engine can arrive out of order.
   }
   const int total = load.running + load.waiting;
-  m_others.store(std::max(0, total - LocalAt(made)), std::memory_order_relaxed);
+  m_total.store(total, std::memory_order_relaxed);
+  const double others = std::max(0, total - LocalAt(made));
+  m_last_others.store(others, std::memory_order_relaxed);
+  const double before = m_others.load(std::memory_order_relaxed);
+  const double passed_ns =
+      static_cast<double>(Nanoseconds(made) - m_report_ns.load(std::memory_order_relaxed));
+  const double weight = before < 0 ? 1.0 : 1.0 - std::exp(-passed_ns / kSmoothingNs);
+  m_others.store(before + weight * (others - before), std::memory_order_relaxed);
   m_report_ns.store(Nanoseconds(made), std::memory_order_relaxed);
 }
 
 double LoadEstimator::Sequences(TimePoint now, double unknown) const {
+  return Combine(m_others.load(std::memory_order_relaxed), now, unknown);
+}
+
+double LoadEstimator::UnsmoothedSequences(TimePoint now, double unknown) const {
+  return Combine(m_last_others.load(std::memory_order_relaxed), now, unknown);
+}
+
+double LoadEstimator::Combine(double others, TimePoint now, double unknown) const {
   const double local = LocalInflight();
-  const double others = m_others.load(std::memory_order_relaxed);
   if (others < 0) {
     return local + unknown;
   }
@@ -49,6 +67,11 @@
   return local + trust * others + (1.0 - trust) * unknown;
 }
 
+double LoadEstimator::Reported(double unknown) const {
+  const double total = m_total.load(std::memory_order_relaxed);
+  return total < 0 ? unknown : total;
+}
+
 void LoadEstimator::Remember(TimePoint now, int local) {
   const uint32_t slot = SlotNumber(now);
   const uint64_t entry = (static_cast<uint64_t>(slot) << 32) | static_cast<uint32_t>(local);
--- a/src/routing/outlier_detector.cc
+++ b/src/routing/outlier_detector.cc
@@ -3,11 +3,13 @@
 #include "azuregw/routing/outlier_detector.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace azuregw {
 namespace {
 
 constexpr double kSmoothing = 0.1;
+constexpr double kFadeNs = 10e9;
 // An engine that stayed healthy this long after an ejection starts again at the base duration.
 constexpr std::chrono::minutes kForgiveAfter{10};
 
@@ -21,15 +23,24 @@
 
 }  // namespace
 
-void EngineHealth::OnSuccess(double ms_per_token) {
+void EngineHealth::OnSuccess(double ms_per_token, TimePoint now) {
   m_failures.store(0, std::memory_order_relaxed);
   const double old = LatencyMs();
   const double next = old == 0.0 ? ms_per_token : old + kSmoothing * (ms_per_token - old);
   m_latency_ms.store(next, std::memory_order_relaxed);
   m_samples.fetch_add(1, std::memory_order_relaxed);
+  m_measured_ns.store(Nanoseconds(now), std::memory_order_relaxed);
 }
 
-void EngineHealth::OnFailure() { m_failures.fetch_add(1, std::memory_order_relaxed); }
+void EngineHealth::OnFailure(TimePoint now) {
+  m_failures.fetch_add(1, std::memory_order_relaxed);
+  m_measured_ns.store(Nanoseconds(now), std::memory_order_relaxed);
+}
+
+double EngineHealth::Freshness(TimePoint now) const {
+  const int64_t age_ns = Nanoseconds(now) - m_measured_ns.load(std::memory_order_relaxed);
+  return std::exp(-std::max(0.0, static_cast<double>(age_ns)) / kFadeNs);
+}
 
 bool EngineHealth::Ejected(TimePoint now) const {
   return Nanoseconds(now) < m_ejected_until_ns.load(std::memory_order_relaxed);
@@ -87,8 +98,10 @@
       std::min(m_options.base_duration * (1 << earlier), m_options.max_duration);
   const TimePoint until = now + duration;
   health->m_ejected_until_ns.store(Nanoseconds(until), std::memory_order_relaxed);
-  // The engine is measured afresh when it returns.
-  health->m_failures.store(0, std::memory_order_relaxed);
+  // When the engine returns, one failure is enough to eject it again, and its latency is measured
+  // afresh.
+  health->m_failures.store(std::min(health->ConsecutiveFailures(), m_options.failures - 1),
+                           std::memory_order_relaxed);
   health->m_latency_ms.store(0.0, std::memory_order_relaxed);
   health->m_samples.store(0, std::memory_order_relaxed);
   return until;
--- /dev/null
+++ b/tests/routing/prefix_cache_index_test.cc
@@ -0,0 +1,63 @@
+// Prefix index: late events and gaps must not leave knowledge that is no longer true.
+
+#include "azuregw/routing/prefix_cache_index.h"
+
+#include <boost/test/unit_test.hpp>
+#include <vector>
+
+namespace azuregw {
+namespace {
+
+std::vector<PrefixCacheIndex::Match> Find(const PrefixCacheIndex& index,
+                                          const std::vector<uint64_t>& hashes) {
+  std::vector<PrefixCacheIndex::Match> matches;
+  index.Find(hashes, &matches);
+  return matches;
+}
+
+BOOST_AUTO_TEST_SUITE(prefix_cache_index)
+
+BOOST_AUTO_TEST_CASE(longest_prefix_per_engine) {
+  PrefixCacheIndex index(100);
+  index.OnEvents(1, {{{1, true, 11}, {2, true, 22}, {3, true, 33}}, 4});
+  index.OnEvents(2, {{{1, true, 11}}, 2});
+  const auto matches = Find(index, {11, 22, 44});
+  BOOST_REQUIRE(matches.size() == 2u);
+  BOOST_TEST(matches[0].engine == 1u);
+  BOOST_TEST(matches[0].length == 2u);
+  BOOST_TEST(matches[1].length == 1u);
+}
+
+// Guards against affinity to a prefix whose eviction was lost in a gap, inside a batch or after it.
+BOOST_AUTO_TEST_CASE(gap_discards_what_was_known) {
+  PrefixCacheIndex index(100);
+  index.OnEvents(1, {{{1, true, 11}, {2, true, 22}}, 3});
+  index.OnEvents(1, {{{5, true, 55}}, 6});
+  BOOST_TEST(Find(index, {11}).empty());
+  BOOST_TEST(Find(index, {55}).size() == 1u);
+  index.OnEvents(1, {{}, 9});
+  BOOST_TEST(Find(index, {55}).empty());
+}
+
+// Guards against a repeated or late batch that brings an evicted prefix back.
+BOOST_AUTO_TEST_CASE(old_events_are_ignored) {
+  PrefixCacheIndex index(100);
+  index.OnEvents(1, {{{1, true, 11}, {2, false, 11}}, 3});
+  index.OnEvents(1, {{{1, true, 11}}, 3});
+  BOOST_TEST(Find(index, {11}).empty());
+}
+
+// Guards against memory that grows with the number of prompts.
+BOOST_AUTO_TEST_CASE(size_is_bounded) {
+  PrefixCacheIndex index(100);
+  for (uint64_t i = 1; i <= 1000; ++i) {
+    index.OnEvents(1, {{{i, true, i}}, i + 1});
+  }
+  BOOST_TEST(index.size() == 100u);
+  BOOST_TEST(Find(index, {1000}).size() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace azuregw
