--- a/include/azuregw/engine/step_batcher.h
+++ b/include/azuregw/engine/step_batcher.h
@@ -34,8 +34,8 @@
 
   void OnBatchDone();
 
-  int inflight() const { return m_inflight; }
-  size_t waiting() const { return m_waiting.size(); }
+  int InFlight() const { return m_inflight; }
+  size_t WaitingCount() const { return m_waiting.size(); }
 
  private:
   struct Waiting {
--- a/include/azuregw/pipeline/pipeline_session.h
+++ b/include/azuregw/pipeline/pipeline_session.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "azuregw/pipeline/session_events.h"
@@ -46,11 +47,11 @@
   // Events that no longer concern the session are discarded and cause no action.
   std::vector<SessionAction> Handle(const SessionEvent& event, TimePoint now);
 
-  bool ended() const { return m_phase == Phase::kEnded; }
+  bool Ended() const { return m_phase == Phase::kEnded; }
   // The chain with its replacements.
   Chain CurrentChain() const;
   // Repairs are bounded in a row, until the next token; see kMaxRepairsInRow.
-  int repairs() const { return m_repairs; }
+  int Repairs() const { return m_repairs; }
 
  protected:
   // Whether an answer belongs to the step in flight; late answers of a stage that was given up
--- a/include/azuregw/pipeline/resume_token.h
+++ b/include/azuregw/pipeline/resume_token.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "azuregw/base/result.h"
--- a/src/engine/engine_lane.cc
+++ b/src/engine/engine_lane.cc
@@ -50,29 +50,30 @@
     : m_transport(std::move(transport)), m_timers(std::move(timers)), m_batcher(options) {}
 
 void EngineLane::Add(StepRequest request, StepDone done) {
-  bool queued = false;
-  {
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    const uint64_t id = m_next_id++;
-    queued = m_batcher.Add(id, request.token_count != 1);
-    if (queued) {
-      const TimePoint at = std::chrono::steady_clock::now() + request.timeout;
-      Pending pending;
-      pending.request = std::move(request);
-      pending.done = std::move(done);
-      pending.timer = m_timers->Schedule(at, [weak = weak_from_this(), id] {
-        if (auto lane = weak.lock()) {
-          lane->OnTimeout(id);
-        }
-      });
-      m_pending.emplace(id, std::move(pending));
-    }
-  }
-  if (!queued) {
+  if (Queue(std::move(request), done)) {
+    Pump();
+  } else {
     done(NotRun(ResultCode::kOverloaded, "too many steps wait for the engine"));
-    return;
   }
-  Pump();
+}
+
+bool EngineLane::Queue(StepRequest request, const StepDone& done) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  const uint64_t id = m_next_id++;
+  if (!m_batcher.Add(id, request.token_count != 1)) {
+    return false;
+  }
+  Pending pending;
+  const TimePoint at = std::chrono::steady_clock::now() + request.timeout;
+  pending.request = std::move(request);
+  pending.done = done;
+  pending.timer = m_timers->Schedule(at, [weak = weak_from_this(), id] {
+    if (const auto lane = weak.lock()) {
+      lane->OnTimeout(id);
+    }
+  });
+  m_pending.emplace(id, std::move(pending));
+  return true;
 }
 
 bool EngineLane::Idle() const {
--- a/src/engine/engine_lane.h
+++ b/src/engine/engine_lane.h
@@ -45,6 +45,8 @@
     std::shared_ptr<HttpCallHandle> handle;
   };
 
+  // Returns false when too many steps wait.
+  bool Queue(StepRequest request, const StepDone& done);
   void Pump();
   bool StartCall();
   void Send(uint64_t call, std::vector<StepRequest> requests);
--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -147,20 +147,20 @@
   }
 
   static void OnRequest(const std::shared_ptr<Exchange>& exchange) {
-    const std::string path = exchange->message().relative_uri().path();
+    const std::string path = exchange->Message().relative_uri().path();
     const Route route = FindRoute(path);
     if (route == Route::kHealth || route == Route::kReady) {
-      DiscardBody(exchange->message());
+      DiscardBody(exchange->Message());
       AnswerHealth(exchange, route);
       return;
     }
     if (const auto error = Check(exchange, route)) {
-      DiscardBody(exchange->message());
+      DiscardBody(exchange->Message());
       exchange->Refuse(*error);
       return;
     }
     const int64_t max_body = exchange->snapshot->preset->limits.max_body_bytes;
-    ReadBody(exchange->message(), max_body, [exchange, route, path](Result<std::string> body) {
+    ReadBody(exchange->Message(), max_body, [exchange, route, path](Result<std::string> body) {
       if (body) {
         Dispatch(exchange, route, path, std::move(body.value()));
       } else {
@@ -171,14 +171,14 @@
 
   // Everything that can be refused without the body. Sets the exchange's snapshot and workspace.
   static std::optional<Error> Check(const std::shared_ptr<Exchange>& exchange, Route route) {
-    const GatewayContext& context = exchange->context();
+    const GatewayContext& context = exchange->Context();
     if (route == Route::kNone) {
       return NotRun(ResultCode::kUnknownRoute, "no such path");
     }
-    if (!MethodAllowed(route, exchange->message().method())) {
+    if (!MethodAllowed(route, exchange->Message().method())) {
       return NotRun(ResultCode::kMethodNotAllowed, "the path does not allow this method");
     }
-    if (auto error = CheckHeaders(exchange->message().headers(), context.options)) {
+    if (auto error = CheckHeaders(exchange->Message().headers(), context.options)) {
       return error;
     }
     exchange->snapshot = context.dependencies.snapshots->Current();
@@ -222,13 +222,13 @@
 
   static void AnswerHealth(const std::shared_ptr<Exchange>& exchange, Route route) {
     std::optional<std::string> reason;
-    if (route == Route::kReady && exchange->dependencies().not_ready_reason) {
-      reason = exchange->dependencies().not_ready_reason();
+    if (route == Route::kReady && exchange->Dependencies().not_ready_reason) {
+      reason = exchange->Dependencies().not_ready_reason();
     }
     if (reason) {
       const Error error = NotRun(ResultCode::kNotReady, *reason);
       exchange->Answer(HttpStatus(error.code), "application/json",
-                       ErrorBody(error, exchange->request_id()));
+                       ErrorBody(error, exchange->RequestId()));
     } else {
       exchange->Answer(200, "text/plain", "ok\n");
     }
--- a/src/gateway/completion_handler.cc
+++ b/src/gateway/completion_handler.cc
@@ -35,11 +35,11 @@
   }
 
   void OnToken(int position, const std::string& text, bool end) override {
-    const TimePoint now = m_exchange->dependencies().clock->Now();
-    const TimePoint since = m_first ? m_exchange->start() : m_last_token;
+    const TimePoint now = m_exchange->Dependencies().clock->Now();
+    const TimePoint since = m_first ? m_exchange->Start() : m_last_token;
     const double seconds = std::chrono::duration<double>(now - since).count();
     const char* name = m_first ? "azuregw_first_token_seconds" : "azuregw_between_tokens_seconds";
-    m_exchange->dependencies().metrics->Observe(name, "", seconds);
+    m_exchange->Dependencies().metrics->Observe(name, "", seconds);
     if (m_first) {
       OnFirstToken(now);
     }
@@ -87,9 +87,9 @@
  private:
   void OnFirstToken(TimePoint now) {
     m_first = false;
-    m_ticket->OnFirstResult(std::chrono::duration_cast<Milliseconds>(now - m_exchange->start()));
-    m_exchange->dependencies().events->Record("gateway", "first_token", m_exchange->request_id(),
-                                              "", ResultCode::kOk);
+    m_ticket->OnFirstResult(std::chrono::duration_cast<Milliseconds>(now - m_exchange->Start()));
+    m_exchange->Dependencies().events->Record("gateway", "first_token", m_exchange->RequestId(), "",
+                                              ResultCode::kOk);
   }
 
   std::shared_ptr<AdmissionTicket> m_ticket;
@@ -146,7 +146,7 @@
       return;
     }
     m_exchange->ReportRefusal(error);
-    m_stream->Write(ErrorEvent(ErrorBody(error, m_exchange->request_id())));
+    m_stream->Write(ErrorEvent(ErrorBody(error, m_exchange->RequestId())));
     m_stream->Close();
   }
 
@@ -172,9 +172,9 @@
 
 void StartGeneration(const std::shared_ptr<Exchange>& exchange, const CompletionRequest& request,
                      GenerationRequest generation, std::shared_ptr<AdmissionTicket> ticket) {
-  const GatewayDependencies& deps = exchange->dependencies();
-  deps.events->Record("gateway", "admitted", exchange->request_id(), "", ResultCode::kOk);
-  AnswerHead head{request.kind, exchange->request_id(), request.model, deps.clock->WallMs() / 1000};
+  const GatewayDependencies& deps = exchange->Dependencies();
+  deps.events->Record("gateway", "admitted", exchange->RequestId(), "", ResultCode::kOk);
+  AnswerHead head{request.kind, exchange->RequestId(), request.model, deps.clock->WallMs() / 1000};
   std::shared_ptr<CompletionSink> sink;
   if (request.stream) {
     sink = std::make_shared<StreamSink>(exchange, std::move(head), std::move(ticket));
@@ -204,14 +204,14 @@
   }
   GenerationRequest generation;
   generation.snapshot = exchange.snapshot;
-  generation.request_id = exchange.request_id();
+  generation.request_id = exchange.RequestId();
   generation.workspace = exchange.workspace;
   generation.model = request.model;
   generation.prompt = request.prompt;
   const int most = model->second.max_tokens;
   generation.max_tokens = request.max_tokens == 0 ? most : std::min(request.max_tokens, most);
   generation.priority = preset.workspaces.at(exchange.workspace).priority;
-  generation.deadline = exchange.start() + deadline.value();
+  generation.deadline = exchange.Start() + deadline.value();
   generation.progress_timeout = deadline.value();
   generation.resume_token = exchange.Header("X-Azuregw-Resume");
   generation.last_event_id = last_event_id.value();
@@ -237,7 +237,7 @@
   admission.target = "model/" + request.value().model;
   admission.priority = generation.value().priority;
   admission.deadline = generation.value().deadline;
-  const GatewayDependencies& deps = exchange->dependencies();
+  const GatewayDependencies& deps = exchange->Dependencies();
   deps.admission->Admit(exchange->snapshot, admission, deps.clock->Now(),
                         [exchange, request = request.value(), generation = generation.value()](
                             const Result<std::shared_ptr<AdmissionTicket>>& ticket) {
--- a/src/gateway/event_stream.cc
+++ b/src/gateway/event_stream.cc
@@ -40,7 +40,7 @@
   if (m_gone) {
     return;
   }
-  if (m_buffer.in_avail() + event.size() > m_exchange->context().options.max_stream_buffer_bytes) {
+  if (m_buffer.in_avail() + event.size() > m_exchange->Context().options.max_stream_buffer_bytes) {
     OnGone(ResultCode::kCallerTooSlow);
     return;
   }
@@ -55,7 +55,7 @@
   }
   Ignore(m_buffer.close(std::ios_base::out));
   const std::weak_ptr<Exchange> weak = m_exchange;
-  m_exchange->context().timers->Schedule(std::chrono::steady_clock::now() + kFlushTimeout, [weak] {
+  m_exchange->Context().timers->Schedule(std::chrono::steady_clock::now() + kFlushTimeout, [weak] {
     if (const auto exchange = weak.lock()) {
       exchange->EndProgress();
     }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -66,7 +66,7 @@
 }
 
 void Exchange::ReportRefusal(const Error& error) {
-  const GatewayDependencies& deps = dependencies();
+  const GatewayDependencies& deps = Dependencies();
   deps.refusals->OnRefusal(workspace, error.code, deps.clock->WallMs());
   deps.events->Record("gateway", "refused", m_request_id, error.message, error.code);
   const std::string reason(ResultCodeName(error.code));
@@ -75,7 +75,7 @@
 }
 
 void Exchange::CountOutcome(const std::string& outcome) {
-  dependencies().metrics->Add("azuregw_requests_total", "outcome=\"" + outcome + "\"", 1);
+  Dependencies().metrics->Add("azuregw_requests_total", "outcome=\"" + outcome + "\"", 1);
 }
 
 void Exchange::AnswerStream(const concurrency::streams::istream& body,
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -50,11 +50,11 @@
   // The value of a header, or "".
   std::string Header(const std::string& name) const;
 
-  const web::http::http_request& message() const { return m_message; }
-  GatewayContext& context() const { return *m_context; }
-  const GatewayDependencies& dependencies() const { return m_context->dependencies; }
-  const std::string& request_id() const { return m_request_id; }
-  TimePoint start() const { return m_start; }
+  const web::http::http_request& Message() const { return m_message; }
+  GatewayContext& Context() const { return *m_context; }
+  const GatewayDependencies& Dependencies() const { return m_context->dependencies; }
+  const std::string& RequestId() const { return m_request_id; }
+  TimePoint Start() const { return m_start; }
 
   // Set once by the server, before work begins.
   std::shared_ptr<const Snapshot> snapshot;
--- a/src/gateway/progress_counter.h
+++ b/src/gateway/progress_counter.h
@@ -6,6 +6,7 @@
 #include <condition_variable>
 #include <functional>
 #include <mutex>
+#include <utility>
 
 #include "azuregw/base/clock.h"
 
--- a/src/gateway/service_handler.cc
+++ b/src/gateway/service_handler.cc
@@ -21,17 +21,17 @@
   ServiceCall call;
   call.workspace = exchange.workspace;
   call.service = path.substr(0, slash);
-  call.method = exchange.message().method();
+  call.method = exchange.Message().method();
   call.path = slash == std::string::npos ? "/" : path.substr(slash);
-  const std::string query = exchange.message().relative_uri().query();
+  const std::string query = exchange.Message().relative_uri().query();
   if (!query.empty()) {
     call.path += "?" + query;
   }
   call.content_type = exchange.Header("Content-Type");
   call.body = std::move(body);
   call.idempotency_key = exchange.Header("Idempotency-Key");
-  call.request_id = exchange.request_id();
-  call.deadline = exchange.start() + deadline.value();
+  call.request_id = exchange.RequestId();
+  call.deadline = exchange.Start() + deadline.value();
   if (call.idempotency_key.size() > kMaxIdempotencyKeyLength) {
     return NotRun(ResultCode::kInvalidField, "Idempotency-Key must have at most 255 characters");
   }
@@ -43,16 +43,16 @@
 
 void Run(const std::shared_ptr<Exchange>& exchange, ServiceCall call,
          const std::shared_ptr<AdmissionTicket>& ticket) {
-  const GatewayDependencies& deps = exchange->dependencies();
-  deps.events->Record("gateway", "admitted", exchange->request_id(), "", ResultCode::kOk);
+  const GatewayDependencies& deps = exchange->Dependencies();
+  deps.events->Record("gateway", "admitted", exchange->RequestId(), "", ResultCode::kOk);
   deps.orders->Run(
       exchange->snapshot, std::move(call), [exchange, ticket](const Result<ServiceAnswer>& answer) {
         if (!answer) {
           exchange->Refuse(answer.error());
           return;
         }
-        const TimePoint now = exchange->dependencies().clock->Now();
-        ticket->OnFirstResult(std::chrono::duration_cast<Milliseconds>(now - exchange->start()));
+        const TimePoint now = exchange->Dependencies().clock->Now();
+        ticket->OnFirstResult(std::chrono::duration_cast<Milliseconds>(now - exchange->Start()));
         const ServiceReply& reply = answer.value().reply;
         exchange->CountOutcome("ok");
         exchange->Answer(reply.status, reply.content_type, reply.body);
@@ -73,7 +73,7 @@
   admission.target = "service/" + call.value().service;
   admission.priority = exchange->snapshot->preset->workspaces.at(exchange->workspace).priority;
   admission.deadline = call.value().deadline;
-  const GatewayDependencies& deps = exchange->dependencies();
+  const GatewayDependencies& deps = exchange->Dependencies();
   deps.admission->Admit(
       exchange->snapshot, admission, deps.clock->Now(),
       [exchange, call = call.value()](const Result<std::shared_ptr<AdmissionTicket>>& ticket) {
--- a/src/pipeline/generation.cc
+++ b/src/pipeline/generation.cc
@@ -60,7 +60,7 @@
 }
 
 void PipelineGeneration::HandleOne(const SessionEvent& event) {
-  if (m_session.ended()) {
+  if (m_session.Ended()) {
     return;
   }
   if (const auto* gone = std::get_if<CallerGone>(&event)) {
@@ -72,7 +72,7 @@
   for (SessionAction& action : actions) {
     std::visit([this](auto& concrete) { Perform(std::move(concrete)); }, action);
   }
-  if (m_session.ended()) {
+  if (m_session.Ended()) {
     CleanUp();
   }
 }
--- a/src/pipeline/pipeline_session.cc
+++ b/src/pipeline/pipeline_session.cc
@@ -32,7 +32,7 @@
 std::vector<SessionAction> PipelineSession::Handle(const SessionEvent& event, TimePoint now) {
   m_now = now;
   m_actions.clear();
-  if (!ended()) {
+  if (!Ended()) {
     std::visit([this](const auto& concrete) { On(concrete); }, event);
   }
   return std::move(m_actions);
