Add the operators' commands

One binary with subcommands; gflags holds the flags, and a small parser in front of it gives each subcommand its own flags and reports usage errors with exit code 2 instead of leaving the process from inside gflags. Conflicts, unknown outcomes, silence and time-outs have exit codes of their own.

--- a/src/admin/admin_server.cc
+++ b/src/admin/admin_server.cc
@@ -15,7 +15,7 @@
 namespace http = web::http;
 
 // Operators send names and numbers; presets go to the key-value service.
-constexpr uint64_t kMaxBodyBytes = 64 * 1024;
+constexpr uint64_t kMaxBodyBytes = 65536;
 
 void SendReply(const http::http_request& request, const AdminReply& reply) {
   http::http_response response(static_cast<http::status_code>(reply.status));
@@ -87,7 +87,7 @@
   void Dispatch(const http::http_request& request, std::string body) {
     AdminRequest admin;
     admin.method = request.method();
-    const web::uri uri = request.request_uri();
+    const web::uri& uri = request.request_uri();
     admin.path = web::uri::decode(uri.path());
     for (const auto& [name, value] : web::uri::split_query(uri.query())) {
       admin.query[web::uri::decode(name)] = web::uri::decode(value);
--- /dev/null
+++ b/src/cli/command_table.cc
@@ -0,0 +1,148 @@
+// Commands and flags.
+
+#include "cli/command_table.h"
+
+#include <gflags/gflags.h>
+
+#include <string>
+#include <vector>
+
+DEFINE_string(config, "", "settings file; for commands, a source of addresses and key");
+DEFINE_string(kv, "", "address of the key-value service; or AZUREGW_KV");
+DEFINE_string(list, "", "address of the list of instances; or AZUREGW_LIST");
+DEFINE_string(admin, "", "admin addresses, separated by commas, in place of the list");
+DEFINE_string(key_file, "", "file with the operators' key; or AZUREGW_ADMIN_KEY");
+DEFINE_uint64(call_timeout_ms, 3000, "limit of one call, in ms; default 3000");
+DEFINE_bool(json, false, "print JSON instead of tables");
+DEFINE_string(author, "", "who makes the change; default: the user's name");
+DEFINE_uint64(expect, 0, "change only if this revision is in force");
+DEFINE_uint64(expect_version, 0, "change only if the preset still has this version");
+DEFINE_uint64(revision, 0, "revision to wait for");
+DEFINE_uint64(timeout_ms, 30000, "longest wait, in ms; default 30000");
+DEFINE_string(request, "", "only events of this request");
+
+namespace azuregw {
+
+namespace {
+
+constexpr const char* kFlagNames[] = {
+    "config", "kv",     "list",           "admin",    "key_file",   "call_timeout_ms", "json",
+    "author", "expect", "expect_version", "revision", "timeout_ms", "request"};
+
+}  // namespace
+
+gsl::span<const FlagSpec> AllFlags() {
+  static const std::vector<FlagSpec>* const flags = [] {
+    auto* specs = new std::vector<FlagSpec>();
+    for (const char* name : kFlagNames) {
+      const gflags::CommandLineFlagInfo info = gflags::GetCommandLineFlagInfoOrDie(name);
+      specs->push_back(
+          {name, info.type == "bool" ? FlagKind::kSwitch : FlagKind::kValue, info.description});
+    }
+    return specs;
+  }();
+  return *flags;
+}
+
+Result<void> ApplyFlags(const CommandLine& line) {
+  for (const auto& [name, value] : line.flags) {
+    if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty()) {
+      const gflags::CommandLineFlagInfo info = gflags::GetCommandLineFlagInfoOrDie(name.c_str());
+      return NotRun(ResultCode::kUsage,
+                    "--" + name + ": expected " + info.type + ", found \"" + value + "\"");
+    }
+  }
+  return boost::outcome_v2::success();
+}
+
+gsl::span<const CommandSpec> AllCommands() {
+  static const auto* const commands = new std::vector<CommandSpec>{
+      {"serve", "", 0, 0, "runs an instance", {"config"}},
+      {"preset validate", "FILE", 1, 1, "checks a preset and reports every mistake", {"json"}},
+      {"preset create",
+       "NAME FILE",
+       2,
+       2,
+       "stores a new named preset",
+       {"kv", "config", "call_timeout_ms", "json"}},
+      {"preset edit",
+       "NAME FILE",
+       2,
+       2,
+       "replaces a named preset",
+       {"kv", "config", "call_timeout_ms", "json", "expect_version"}},
+      {"preset use",
+       "NAME",
+       1,
+       1,
+       "puts a named preset in force",
+       {"kv", "config", "call_timeout_ms", "json", "author", "expect"}},
+      {"preset show",
+       "[NAME]",
+       0,
+       1,
+       "prints a named preset, or the one in force",
+       {"kv", "config", "call_timeout_ms", "json"}},
+      {"preset list", "", 0, 0, "lists named presets", {"kv", "config", "call_timeout_ms", "json"}},
+      {"preset diff",
+       "FROM TO",
+       2,
+       2,
+       "prints the changes between two presets; \"current\" is the one in force",
+       {"kv", "config", "call_timeout_ms", "json"}},
+      {"preset status",
+       "",
+       0,
+       0,
+       "prints the revision in force and who put it in force",
+       {"kv", "config", "call_timeout_ms", "json"}},
+      {"preset wait",
+       "",
+       0,
+       0,
+       "waits until all instances have a revision",
+       {"revision", "timeout_ms", "admin", "list", "config", "key_file", "call_timeout_ms",
+        "json"}},
+      {"status",
+       "",
+       0,
+       0,
+       "prints the state of the instances",
+       {"admin", "list", "config", "key_file", "call_timeout_ms", "json"}},
+      {"drain",
+       "INSTANCE",
+       1,
+       1,
+       "shuts an instance down gracefully",
+       {"admin", "list", "config", "key_file", "call_timeout_ms", "json"}},
+      {"upstream leaving",
+       "NAME",
+       1,
+       1,
+       "gives an upstream no new work",
+       {"admin", "list", "config", "key_file", "call_timeout_ms"}},
+      {"upstream returned",
+       "NAME",
+       1,
+       1,
+       "takes a leaving mark back",
+       {"admin", "list", "config", "key_file", "call_timeout_ms"}},
+      {"refusals",
+       "",
+       0,
+       0,
+       "prints the minutes in which callers were refused",
+       {"admin", "list", "config", "key_file", "call_timeout_ms", "json"}},
+      {"timeline",
+       "",
+       0,
+       0,
+       "prints the events of all instances in order",
+       {"admin", "list", "config", "key_file", "call_timeout_ms", "json", "request"}},
+      {"config check", "FILE", 1, 1, "checks a settings file and reports every problem", {}},
+      {"version", "", 0, 0, "prints the version", {}},
+  };
+  return *commands;
+}
+
+}  // namespace azuregw
--- /dev/null
+++ b/src/cli/instance_commands.cc
@@ -0,0 +1,203 @@
+// Commands over admin ports.
+
+#include "cli/instance_commands.h"
+
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cli/json_table.h"
+#include "cli/table.h"
+
+DECLARE_bool(json);
+DECLARE_string(request);
+
+namespace azuregw {
+namespace {
+
+using nlohmann::json;
+
+int Success() { return static_cast<int>(ExitCode::kSuccess); }
+
+std::string NameOf(const AdminTarget& target) {
+  return target.name.empty() ? target.address : target.name;
+}
+
+// Warnings do not stop a command: an operator in trouble needs the answers that came.
+void WarnAboutSilent(const std::vector<AdminAnswer>& answers) {
+  for (const AdminAnswer& answer : answers) {
+    if (!answer.body) {
+      std::cerr << "no answer from " << NameOf(answer.target) << ": " << answer.body.error().message
+                << "\n";
+    }
+  }
+}
+
+// The answers that came, as JSON. Errors: the first failure when none came.
+Result<std::vector<json>> Documents(const std::vector<AdminAnswer>& answers) {
+  std::vector<json> documents;
+  for (const AdminAnswer& answer : answers) {
+    if (answer.body) {
+      documents.push_back(json::parse(answer.body.value(), nullptr, false));
+    }
+  }
+  if (documents.empty()) {
+    return answers.empty() ? NotRun(ResultCode::kAdminUnreachable, "the list names no instances")
+                           : answers.front().body.error();
+  }
+  return documents;
+}
+
+std::vector<std::string> StatusRow(const json& status) {
+  const json reason = status.value("reason", json::object());
+  const auto upstreams = status.value("upstreams", json::array());
+  const auto leaving = std::count_if(upstreams.begin(), upstreams.end(), [](const json& upstream) {
+    return upstream.value("leaving", false);
+  });
+  return {status.value("instance", ""),
+          status.value("failure_domain", ""),
+          std::to_string(status.value("revision", uint64_t{0})),
+          status.value("preset", ""),
+          status.value("ready", false) ? "ready" : "not ready",
+          std::to_string(reason.value("code", 0)) + " " + reason.value("message", ""),
+          std::to_string(status.value("members", json::array()).size()),
+          std::to_string(leaving)};
+}
+
+std::string StatusTable(const std::vector<json>& documents) {
+  std::vector<std::vector<std::string>> rows;
+  for (const json& status : documents) {
+    if (status.is_object()) {
+      rows.push_back(StatusRow(status));
+    }
+  }
+  return FormatTable({"INSTANCE", "DOMAIN", "REVISION", "PRESET", "STATE", "REASON", "MEMBERS",
+                      "LEAVING UPSTREAMS"},
+                     rows);
+}
+
+// Sends a change to the first instance that takes it; the instances tell each other.
+int ChangeUpstream(const CommandContext& context, const std::string& method) {
+  const Result<std::vector<AdminTarget>> targets = context.Targets();
+  if (!targets) {
+    return context.Fail(targets.error());
+  }
+  const std::string path = "/admin/upstreams/" + context.Arguments()[0] + "/leaving";
+  Error last = NotRun(ResultCode::kAdminUnreachable, "the list names no instances");
+  for (const AdminTarget& target : targets.value()) {
+    const AdminAnswer answer = context.AskAll({target}, method, path).front();
+    if (answer.body) {
+      std::cout << answer.body.value() << "\n";
+      return Success();
+    }
+    last = answer.body.error();
+  }
+  return context.Fail(last);
+}
+
+}  // namespace
+
+int Status(const CommandContext& context) {
+  const Result<std::vector<AdminTarget>> targets = context.Targets();
+  if (!targets) {
+    return context.Fail(targets.error());
+  }
+  const std::vector<AdminAnswer> answers = context.AskAll(targets.value(), "GET", "/admin/status");
+  WarnAboutSilent(answers);
+  const Result<std::vector<json>> documents = Documents(answers);
+  if (!documents) {
+    return context.Fail(documents.error());
+  }
+  if (FLAGS_json) {
+    context.PrintJson(documents.value());
+  } else {
+    std::cout << StatusTable(documents.value());
+  }
+  return Success();
+}
+
+int Drain(const CommandContext& context) {
+  const Result<std::vector<AdminTarget>> targets = context.Targets();
+  if (!targets) {
+    return context.Fail(targets.error());
+  }
+  const std::string& wanted = context.Arguments()[0];
+  std::vector<AdminTarget> chosen;
+  for (const AdminTarget& target : targets.value()) {
+    if (target.name == wanted || target.address == wanted) {
+      chosen.push_back(target);
+    }
+  }
+  if (chosen.size() != 1) {
+    return context.Fail(
+        NotRun(ResultCode::kUsage, "no instance \"" + wanted + "\" in the list or in --admin"));
+  }
+  const AdminAnswer answer = context.AskAll(chosen, "POST", "/admin/drain").front();
+  if (!answer.body) {
+    return context.Fail(answer.body.error());
+  }
+  std::cout << (FLAGS_json ? answer.body.value() : "draining " + wanted) << "\n";
+  return Success();
+}
+
+int Timeline(const CommandContext& context) {
+  const Result<std::vector<AdminTarget>> targets = context.Targets();
+  if (!targets) {
+    return context.Fail(targets.error());
+  }
+  std::string path = "/admin/timeline";
+  if (!FLAGS_request.empty()) {
+    path += "?request_id=" + FLAGS_request;
+  }
+  const std::vector<AdminAnswer> answers = context.AskAll(targets.value(), "GET", path);
+  WarnAboutSilent(answers);
+  const Result<std::vector<json>> documents = Documents(answers);
+  if (!documents) {
+    return context.Fail(documents.error());
+  }
+  const json events = MergeEvents(documents.value());
+  if (FLAGS_json) {
+    context.PrintJson(events);
+  } else {
+    std::cout << JsonTable(
+        events, {"time", "instance", "component", "event", "request_id", "code", "detail"});
+  }
+  return Success();
+}
+
+int Refusals(const CommandContext& context) {
+  const Result<std::vector<AdminTarget>> targets = context.Targets();
+  if (!targets) {
+    return context.Fail(targets.error());
+  }
+  // The ledger is in the key-value service, so any instance can answer for all.
+  Error last = NotRun(ResultCode::kAdminUnreachable, "the list names no instances");
+  for (const AdminTarget& target : targets.value()) {
+    const AdminAnswer answer = context.AskAll({target}, "GET", "/admin/refusals").front();
+    if (!answer.body) {
+      last = answer.body.error();
+      continue;
+    }
+    const json document = json::parse(answer.body.value(), nullptr, false);
+    if (FLAGS_json) {
+      context.PrintJson(document);
+    } else {
+      std::cout << JsonTable(
+          document.is_object() ? document.value("minutes", json::array()) : json::array(),
+          {"minute", "workspace", "reason", "count"});
+    }
+    return Success();
+  }
+  return context.Fail(last);
+}
+
+int UpstreamLeaving(const CommandContext& context) { return ChangeUpstream(context, "POST"); }
+
+int UpstreamReturned(const CommandContext& context) { return ChangeUpstream(context, "DELETE"); }
+
+}  // namespace azuregw
--- /dev/null
+++ b/src/cli/json_table.cc
@@ -0,0 +1,74 @@
+// JSON documents as tables.
+
+#include "cli/json_table.h"
+
+#include <algorithm>
+#include <cctype>
+#include <nlohmann/json.hpp>
+
+#include "cli/table.h"
+
+namespace azuregw {
+
+using nlohmann::json;
+
+namespace {
+
+std::string CellText(const json& row, const std::string& column) {
+  const auto cell = row.find(column);
+  if (cell == row.end() || cell->is_null()) {
+    return "";
+  }
+  return cell->is_string() ? cell->get<std::string>() : cell->dump();
+}
+
+std::string Title(std::string column) {
+  std::transform(column.begin(), column.end(), column.begin(),
+                 [](unsigned char c) { return static_cast<char>(std::toupper(c)); });
+  return column;
+}
+
+}  // namespace
+
+std::string JsonTable(const json& rows, const std::vector<std::string>& columns) {
+  std::vector<std::string> used;
+  for (const std::string& column : columns) {
+    const bool present = std::any_of(rows.begin(), rows.end(), [&column](const json& row) {
+      return row.is_object() && row.contains(column);
+    });
+    if (present) {
+      used.push_back(column);
+    }
+  }
+  std::vector<std::string> header;
+  std::transform(used.begin(), used.end(), std::back_inserter(header), Title);
+  std::vector<std::vector<std::string>> cells;
+  for (const json& row : rows) {
+    std::vector<std::string> line;
+    for (const std::string& column : used) {
+      line.push_back(row.is_object() ? CellText(row, column) : "");
+    }
+    cells.push_back(std::move(line));
+  }
+  return FormatTable(header, cells);
+}
+
+json MergeEvents(const std::vector<json>& documents) {
+  std::vector<json> events;
+  for (const json& document : documents) {
+    if (!document.is_object() || !document.contains("events") || !document["events"].is_array()) {
+      continue;
+    }
+    for (const json& event : document["events"]) {
+      events.push_back(event);
+    }
+  }
+  const auto time_of = [](const json& event) {
+    return event.is_object() && event.contains("time") ? event["time"] : json();
+  };
+  std::stable_sort(events.begin(), events.end(),
+                   [&time_of](const json& a, const json& b) { return time_of(a) < time_of(b); });
+  return json(events);
+}
+
+}  // namespace azuregw
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cassert>
 #include <utility>
+#include <vector>
 
 namespace azuregw {
 namespace {
--- a/src/serve/status_json.cc
+++ b/src/serve/status_json.cc
@@ -3,6 +3,7 @@
 #include "serve/status_json.h"
 
 #include <nlohmann/json.hpp>
+#include <string>
 #include <utility>
 
 namespace azuregw {
