--- a/src/cli/json_table.cc
+++ b/src/cli/json_table.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cctype>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "cli/table.h"
 
--- a/src/cli/preset_commands.cc
+++ b/src/cli/preset_commands.cc
@@ -6,6 +6,7 @@
 
 #include <cstdlib>
 #include <iostream>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
--- a/src/control/control_loop.cc
+++ b/src/control/control_loop.cc
@@ -162,7 +162,7 @@
     while (true) {
       {
         std::unique_lock<std::mutex> lock(m_mutex);
-        m_wake.wait_until(lock, next_tick, [this] { return m_stopped || !m_tasks.empty(); });
+        m_wake.wait_for(lock, next_tick - Now(), [this] { return m_stopped || !m_tasks.empty(); });
         if (m_stopped) {
           return;
         }
--- /dev/null
+++ b/tests/cli/output_test.cc
@@ -0,0 +1,64 @@
+// What the commands print, from given answers.
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "cli/json_table.h"
+#include "cli/revision_count.h"
+#include "cli/table.h"
+
+namespace azuregw {
+namespace {
+
+using nlohmann::json;
+
+AdminAnswer Answer(const std::string& name, const std::string& body) {
+  AdminAnswer answer;
+  answer.target.name = name;
+  answer.body = body;
+  return answer;
+}
+
+BOOST_AUTO_TEST_SUITE(output)
+
+BOOST_AUTO_TEST_CASE(table_columns_are_aligned) {
+  BOOST_TEST(FormatTable({"A", "LONG"}, {{"wide cell", "1"}, {"x"}}) ==
+             "A          LONG\nwide cell  1\nx\n");
+}
+
+BOOST_AUTO_TEST_CASE(json_table_leaves_out_unused_columns) {
+  const json rows = json::parse(R"([{"a":1,"b":"x"},{"b":null,"c":true}])");
+  BOOST_TEST(JsonTable(rows, {"a", "b", "d"}) == "A  B\n1  x\n\n");
+}
+
+BOOST_AUTO_TEST_CASE(events_of_instances_are_merged_by_time) {
+  const json first = json::parse(R"({"events":[{"time":1,"event":"a"},{"time":4,"event":"d"}]})");
+  const json second = json::parse(R"({"events":[{"time":2,"event":"b"},{"time":3,"event":"c"}]})");
+  std::string order;
+  for (const json& event : MergeEvents({first, second, json(7), json::object()})) {
+    order += event["event"].get<std::string>();
+  }
+  BOOST_TEST(order == "abcd");
+}
+
+// Guards against counting a silent instance, or one with a later revision wrongly.
+BOOST_AUTO_TEST_CASE(instances_with_a_revision_are_counted) {
+  AdminAnswer silent;
+  silent.target.address = "127.0.0.1:9";
+  const RevisionCount count =
+      CountRevision({Answer("gw-1", R"({"revision":5})"), Answer("gw-2", R"({"revision":6})"),
+                     Answer("gw-3", R"({"revision":4})"), Answer("gw-4", "damaged"), silent},
+                    5);
+  BOOST_TEST(count.instances == 5u);
+  BOOST_TEST(count.have == 2u);
+  BOOST_TEST(count.missing == (std::vector<std::string>{"gw-3 (revision 4)", "gw-4 (revision 0)",
+                                                        "127.0.0.1:9 (no answer)"}),
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace azuregw
--- /dev/null
+++ b/tests/control/control_state_test.cc
@@ -0,0 +1,143 @@
+// ControlState: an instance is ready only when it knows what is in force, and a paused process does
+// not act on what it knew before the pause.
+
+#include "control/control_state.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tests/fakes/preset_documents.h"
+
+namespace azuregw {
+namespace {
+
+constexpr Milliseconds kTick{100};
+constexpr Milliseconds kLongPause{5000};
+
+ControlStateOptions Options(bool refresh_after_pause = true) {
+  ControlStateOptions options;
+  options.self = "gw-1";
+  options.failure_domain = "fd-a";
+  options.refresh_after_pause = refresh_after_pause;
+  return options;
+}
+
+std::string Document() { return TestPresetDocument().dump(); }
+
+std::unique_ptr<PeerGroup> Peers() {
+  MemberView self;
+  self.name = "gw-1";
+  return MakeListPeerGroup(self);
+}
+
+// Whether the instance calls itself ready right after a pause, before it has read anything again.
+bool ReadyRightAfterPause(bool refresh_after_pause) {
+  ControlState state(Options(refresh_after_pause));
+  TimePoint now{std::chrono::hours(1)};
+  state.OnPreset(1, Document());
+  state.OnTick(now);
+  state.OnTick(now + kLongPause);
+  return state.CurrentReadiness(false).ready;
+}
+
+BOOST_AUTO_TEST_SUITE(control_state)
+
+BOOST_AUTO_TEST_CASE(ready_only_with_a_preset) {
+  ControlState state(Options());
+  BOOST_TEST((state.CurrentReadiness(false).code == ResultCode::kNoPreset));
+  state.OnPreset(1, "{}");
+  BOOST_TEST((state.CurrentReadiness(false).code == ResultCode::kNoPreset));
+  state.OnPreset(1, Document());
+  BOOST_TEST(state.CurrentReadiness(false).ready);
+  BOOST_TEST((state.CurrentReadiness(true).code == ResultCode::kNotReady));
+}
+
+BOOST_AUTO_TEST_CASE(reasons_against_readiness_are_numbered) {
+  ControlState state(Options());
+  state.OnPreset(1, Document());
+  state.OnComponents("fails too often: committer");
+  BOOST_TEST((state.CurrentReadiness(false).code == ResultCode::kComponentFailed));
+  state.OnComponents("");
+  BOOST_TEST(state.CurrentReadiness(false).ready);
+  state.OnDrain();
+  BOOST_TEST((state.CurrentReadiness(false).code == ResultCode::kDraining));
+}
+
+// Guards against acting on a revision or on members from before a pause.
+BOOST_AUTO_TEST_CASE(pause_needs_a_refresh_before_acting) {
+  BOOST_TEST(!ReadyRightAfterPause(true));
+  BOOST_TEST(ReadyRightAfterPause(false));
+}
+
+BOOST_AUTO_TEST_CASE(refresh_ends_when_both_reads_ended) {
+  ControlState state(Options());
+  TimePoint now{std::chrono::hours(1)};
+  state.OnPreset(1, Document());
+  BOOST_TEST(!state.OnTick(now));
+  BOOST_TEST(!state.OnTick(now += kTick));
+  BOOST_TEST(state.OnTick(now += kLongPause));
+  state.OnPresetRead(state.RefreshNumber());
+  BOOST_TEST(!state.CurrentReadiness(false).ready);
+  state.OnListRead(state.RefreshNumber());
+  BOOST_TEST(state.CurrentReadiness(false).ready);
+}
+
+// Guards against counting a read that started before the pause, or before a second pause.
+BOOST_AUTO_TEST_CASE(older_reads_do_not_end_a_refresh) {
+  ControlState state(Options());
+  TimePoint now{std::chrono::hours(1)};
+  state.OnPreset(1, Document());
+  state.OnTick(now);
+  state.OnTick(now += kLongPause);
+  const uint64_t first = state.RefreshNumber();
+  state.OnTick(now += kLongPause);
+  for (const uint64_t number : {uint64_t{0}, first}) {
+    state.OnPresetRead(number);
+    state.OnListRead(number);
+  }
+  BOOST_TEST(state.IsRefreshing());
+}
+
+BOOST_AUTO_TEST_CASE(snapshot_changes_only_when_something_changed) {
+  ControlState state(Options());
+  const auto peers = Peers();
+  const auto first = state.NextSnapshot(nullptr, *peers);
+  BOOST_REQUIRE(first);
+  BOOST_TEST(!state.NextSnapshot(first.get(), *peers));
+  state.OnPreset(4, Document());
+  const auto second = state.NextSnapshot(first.get(), *peers);
+  BOOST_REQUIRE(second);
+  BOOST_TEST(second->preset_revision == 4u);
+  BOOST_TEST(second->topology_revision == first->topology_revision + 1);
+  peers->MarkUpstreamLeaving("design-a1", TimePoint());
+  const auto third = state.NextSnapshot(second.get(), *peers);
+  BOOST_REQUIRE(third);
+  BOOST_TEST(third->leaving_upstreams.count("design-a1") == 1u);
+  BOOST_TEST(third->topology_revision == second->topology_revision + 1);
+  state.OnDrain();
+  const auto fourth = state.NextSnapshot(third.get(), *peers);
+  BOOST_REQUIRE(fourth);
+  BOOST_TEST(fourth->draining);
+  BOOST_TEST(fourth->topology_revision == third->topology_revision);
+}
+
+// Guards against losing an operator's or an engine's mark because the list lags.
+BOOST_AUTO_TEST_CASE(lagging_list_does_not_remove_a_mark) {
+  const auto peers = Peers();
+  peers->MarkUpstreamLeaving("design-a1", TimePoint());
+  ListedInstance live;
+  live.name = "design-a1";
+  live.role = ListedRole::kEngine;
+  const std::vector<ListedInstance> list = {live};
+  peers->OnList(list, TimePoint());
+  BOOST_TEST(peers->LeavingUpstreams().count("design-a1") == 1u);
+  peers->ReturnUpstream("design-a1", TimePoint());
+  BOOST_TEST(peers->LeavingUpstreams().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace azuregw
