--- a/include/azuregw/membership/membership.h
+++ b/include/azuregw/membership/membership.h
@@ -100,8 +100,9 @@
   virtual std::string WatcherOf(const std::string& failure_domain) const = 0;
   // Peer address of an instance that is not dead; empty when unknown.
   virtual std::string AddressOf(const std::string& name) const = 0;
-  // True from the start or a clock jump until a peer has sent its full state (or none is there to
-  // answer). The view may be stale, and nobody is judged, until then.
+  // True from the start or a clock jump until two peers have sent their full state, or one when no
+  // second answers, or none when there is nobody to answer. The view may be stale, and nobody is
+  // judged, until then.
   virtual bool IsRefreshing() const = 0;
   // Clock jumps seen; the owner refreshes the preset and leases when it grows.
   virtual uint64_t ClockJumps() const = 0;
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -22,6 +22,8 @@
 // A refresh that nobody answers ends after this time; there may be no other instance.
 constexpr Milliseconds kRefreshLimit{6000};
 constexpr size_t kRefreshPeers = 3;
+constexpr size_t kRefreshAnswers = 2;
+constexpr Milliseconds kSecondAnswerLimit{1500};
 constexpr size_t kMaxFullStatesPerSecond = 5;
 // Each update is sent about this many times the logarithm of the number of members.
 constexpr size_t kSendsPerLog = 4;
@@ -132,8 +134,7 @@
     }
   }
   if (heartbeat.full_state) {
-    m_refreshing = false;
-    m_digest_differs_since.reset();
+    OnFullState(from, at.now);
   }
   const bool contradicts = NoteSender(from, heartbeat, at.now);
   const Member* sender = m_table.Find(from);
@@ -151,6 +152,16 @@
   return sends;
 }
 
+void MembershipImpl::OnFullState(const std::string& from, TimePoint now) {
+  m_digest_differs_since.reset();
+  m_refresh_answers.insert(from);
+  // One peer may itself have been cut off, so a second answer is awaited for a while.
+  const size_t wanted = std::min(kRefreshAnswers, m_table.Others().size());
+  if (m_refresh_answers.size() >= wanted || now - m_refresh_since > kSecondAnswerLimit) {
+    m_refreshing = false;
+  }
+}
+
 HeartbeatSends MembershipImpl::SetLeaving(Instant at) {
   HeartbeatSends sends;
   Member& self = m_table.Self();
@@ -252,6 +263,7 @@
 void MembershipImpl::StartRefresh(TimePoint now) {
   m_refreshing = true;
   m_refresh_since = now;
+  m_refresh_answers.clear();
   m_refresh_retry = now;
   // Silence during the pause is this instance's own.
   m_detector.Restart(now);
@@ -261,7 +273,8 @@
   if (!m_refreshing || at.now < m_refresh_retry) {
     return;
   }
-  if (at.now - m_refresh_since > kRefreshLimit) {
+  const bool answered = !m_refresh_answers.empty() && at.now - m_refresh_since > kSecondAnswerLimit;
+  if (answered || at.now - m_refresh_since > kRefreshLimit) {
     m_refreshing = false;
     return;
   }
--- a/src/membership/membership_impl.h
+++ b/src/membership/membership_impl.h
@@ -55,6 +55,7 @@
   void Forward(Instant at, HeartbeatSends* sends);
   void CheckClock(TimePoint now);
   void StartRefresh(TimePoint now);
+  void OnFullState(const std::string& from, TimePoint now);
   void ContinueRefresh(Instant at, HeartbeatSends* sends);
   void SendHeartbeats(Instant at, HeartbeatSends* sends);
   void SendToDead(Instant at, HeartbeatSends* sends);
@@ -84,6 +85,7 @@
   TimePoint m_next_forward{};
   bool m_refreshing = false;
   TimePoint m_refresh_since{};
+  std::set<std::string> m_refresh_answers;  // Peers that sent a full state since then.
   TimePoint m_refresh_retry{};
   std::optional<TimePoint> m_digest_differs_since;
   TimePoint m_next_state_request{};
--- a/src/peer/tcp_peer_transport.cc
+++ b/src/peer/tcp_peer_transport.cc
@@ -6,8 +6,6 @@
 
 #include "azuregw/peer/tcp_peer_transport.h"
 
-#include <glog/logging.h>
-
 #include <algorithm>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
@@ -16,9 +14,11 @@
 #include <cassert>
 #include <map>
 #include <set>
+#include <string_view>
 #include <thread>
 #include <utility>
 
+#include "azuregw/logging/log.h"
 #include "peer/peer_connection.h"
 
 namespace azuregw {
@@ -28,6 +28,7 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+constexpr std::string_view kComponent = "peer";
 constexpr size_t kReadBufferBytes = size_t{64} << 10;
 constexpr Milliseconds kSweepInterval{500};
 // Accepting fails at once, again and again, while the process has no free file descriptor.
@@ -160,7 +161,8 @@
 void TcpPeerTransport::Send(const std::string& address, std::vector<uint8_t> payload) {
   const size_t bytes = payload.size() + kFrameHeaderBytes;
   if (payload.empty() || payload.size() > kMaxFramePayloadBytes) {
-    LOG(WARNING) << "peer message of " << payload.size() << " bytes to " << address << " dropped";
+    LogEvent(LogLevel::kWarning, kComponent, "peer_message_dropped", "", ResultCode::kFrameTooLarge,
+             std::to_string(payload.size()) + " bytes for " + address);
     return;
   }
   if (m_posted_bytes.fetch_add(bytes) + bytes > m_options.max_total_queue_bytes) {
@@ -283,9 +285,8 @@
 
 void TcpPeerTransport::OnClosed(PeerConnection* connection, const Error& error) {
   if (error.code != ResultCode::kOk && !m_stopping) {
-    LOG(WARNING) << "peer connection with " << connection->Remote() << " closed, code "
-                 << static_cast<int>(error.code) << " " << ResultCodeName(error.code) << ": "
-                 << error.message;
+    LogEvent(LogLevel::kWarning, kComponent, "peer_connection_closed", "", error.code,
+             connection->Remote() + ": " + error.message);
     if (m_options.on_fault) {
       m_options.on_fault(error.code, connection->Remote());
     }
