--- /dev/null
+++ b/src/orders/claim_wire.cc
@@ -0,0 +1,163 @@
+// Conversions between claims and FlatBuffers messages.
+
+#include "orders/claim_wire.h"
+
+#include <memory>
+#include <utility>
+
+namespace azuregw {
+namespace {
+
+wire::OrderState ToWire(ClaimState state) {
+  switch (state) {
+    case ClaimState::kPending:
+      return wire::OrderState::InProgress;
+    case ClaimState::kRun:
+      return wire::OrderState::Run;
+    case ClaimState::kNotRun:
+      return wire::OrderState::NotRun;
+    case ClaimState::kUnknown:
+      break;
+  }
+  return wire::OrderState::Unknown;
+}
+
+ClaimState FromWire(wire::OrderState state) {
+  switch (state) {
+    case wire::OrderState::InProgress:
+      return ClaimState::kPending;
+    case wire::OrderState::Run:
+      return ClaimState::kRun;
+    case wire::OrderState::NotRun:
+      return ClaimState::kNotRun;
+    case wire::OrderState::Unknown:
+      break;
+  }
+  return ClaimState::kUnknown;
+}
+
+// The verdict that a reply with the holder's outcome stands for.
+ClaimVerdict VerdictOf(const Claim& holder, const Claim& claim) {
+  if (holder.state == ClaimState::kNotRun) {
+    return ClaimVerdict::kAbandoned;
+  }
+  if (holder.fingerprint != claim.fingerprint) {
+    return ClaimVerdict::kOtherBody;
+  }
+  if (holder.state == ClaimState::kPending) {
+    return ClaimVerdict::kInProgress;
+  }
+  // An answer is replayed only when it was sent along.
+  return holder.state == ClaimState::kRun && holder.answer ? ClaimVerdict::kAnswered
+                                                           : ClaimVerdict::kUnknown;
+}
+
+// The holder's claim in the state that `verdict` gives it for readers.
+Claim HolderFor(const ClaimReply& reply) {
+  Claim holder = reply.existing.value_or(Claim{});
+  if (reply.verdict == ClaimVerdict::kUnknown) {
+    holder.state = ClaimState::kUnknown;
+    holder.answer.reset();
+  } else if (reply.verdict == ClaimVerdict::kAbandoned) {
+    holder.state = ClaimState::kNotRun;
+  }
+  return holder;
+}
+
+}  // namespace
+
+wire::EnvelopeT ToClaimRequest(const Claim& claim, int shard, Milliseconds wait) {
+  wire::ClaimRequestT request;
+  request.shard = static_cast<uint32_t>(shard);
+  request.key_hash = claim.key_hash;
+  request.body_fingerprint = claim.fingerprint;
+  request.claim_id = claim.claim_id;
+  request.wait_ms = static_cast<uint32_t>(wait.count());
+  request.created_wall_ms = claim.created_ms;
+  request.deadline_wall_ms = claim.deadline_ms;
+  wire::EnvelopeT envelope;
+  envelope.body.Set(std::move(request));
+  return envelope;
+}
+
+Claim FromClaimRequest(const wire::ClaimRequestT& request) {
+  Claim claim;
+  claim.key_hash = request.key_hash;
+  claim.fingerprint = request.body_fingerprint;
+  claim.claim_id = request.claim_id;
+  claim.created_ms = request.created_wall_ms;
+  claim.deadline_ms = request.deadline_wall_ms;
+  return claim;
+}
+
+wire::EnvelopeT ToClaimReply(const ClaimReply& reply) {
+  wire::ClaimReplyT message;
+  message.maybe_written = reply.maybe_written;
+  if (reply.verdict == ClaimVerdict::kWon) {
+    message.status = wire::ClaimStatus::Granted;
+  } else if (reply.verdict == ClaimVerdict::kUnavailable) {
+    message.status = wire::ClaimStatus::Unavailable;
+    message.code = static_cast<int32_t>(ResultCode::kOrderClaimUnavailable);
+  } else {
+    message.status = wire::ClaimStatus::Exists;
+    message.outcome = std::make_unique<wire::OutcomeRecordT>(ToOutcomeRecord(HolderFor(reply), 0));
+  }
+  wire::EnvelopeT envelope;
+  envelope.body.Set(std::move(message));
+  return envelope;
+}
+
+ClaimReply FromClaimReply(const wire::ClaimReplyT& message, const Claim& claim) {
+  ClaimReply reply;
+  reply.maybe_written = message.maybe_written;
+  if (message.status == wire::ClaimStatus::Granted) {
+    reply.verdict = ClaimVerdict::kWon;
+  } else if (message.status == wire::ClaimStatus::Exists && message.outcome) {
+    reply.existing = FromOutcomeRecord(*message.outcome);
+    reply.verdict = VerdictOf(*reply.existing, claim);
+  } else {
+    // Also a status of a later version.
+    reply.verdict = ClaimVerdict::kUnavailable;
+    reply.maybe_written = message.maybe_written || message.status != wire::ClaimStatus::Unavailable;
+  }
+  return reply;
+}
+
+wire::OutcomeRecordT ToOutcomeRecord(const Claim& claim, int shard) {
+  wire::OutcomeRecordT record;
+  record.shard = static_cast<uint32_t>(shard);
+  record.key_hash = claim.key_hash;
+  record.claim_id = claim.claim_id;
+  record.body_fingerprint = claim.fingerprint;
+  record.state = ToWire(claim.state);
+  record.created_wall_ms = claim.created_ms;
+  record.deadline_wall_ms = claim.deadline_ms;
+  if (claim.answer) {
+    record.status = static_cast<uint16_t>(claim.answer->status);
+    record.content_type = claim.answer->content_type;
+    record.body.assign(claim.answer->body.begin(), claim.answer->body.end());
+    record.answer_dropped = !claim.answer->complete;
+  }
+  return record;
+}
+
+Claim FromOutcomeRecord(const wire::OutcomeRecordT& record) {
+  Claim claim;
+  claim.key_hash = record.key_hash;
+  claim.fingerprint = record.body_fingerprint;
+  claim.claim_id = record.claim_id;
+  claim.created_ms = record.created_wall_ms;
+  claim.deadline_ms = record.deadline_wall_ms;
+  claim.state = FromWire(record.state);
+  if (claim.state == ClaimState::kRun && record.status != 0) {
+    RecordedAnswer answer;
+    answer.status = record.status;
+    answer.content_type = record.content_type;
+    answer.body.assign(record.body.begin(), record.body.end());
+    answer.complete = !record.answer_dropped;
+    claim.answer = std::move(answer);
+  }
+  return claim;
+}
+
+}  // namespace azuregw
