--- a/bench/order_claims_bench.cc
+++ b/bench/order_claims_bench.cc
@@ -287,20 +287,19 @@
     ->Iterations(1)
     ->Unit(benchmark::kMillisecond);
 
-// Arguments: shards, linger of claims in ms. The linger bounds the swaps to shards / linger, which
-// leaves a part of the store's writes to others.
-void BM_ClaimLinger(benchmark::State& state) {
+// Arguments: shards, orders per second offered. The interval between the swaps of a shard is that
+// of the committer: 200 swaps per second over all shards, at most 1 s.
+void BM_ClaimsWithInterval(benchmark::State& state) {
   Scenario scenario;
   scenario.shards = static_cast<int>(state.range(0));
-  scenario.options.claim_linger = Milliseconds(state.range(1));
+  scenario.options.swap_interval = Milliseconds(std::min(1000, scenario.shards * 5));
   scenario.options.outcome_linger = Milliseconds(1000);
-  scenario.orders_per_s = 480;
+  scenario.orders_per_s = static_cast<double>(state.range(1));
   Report(scenario, &state);
 }
-BENCHMARK(BM_ClaimLinger)
-    ->ArgNames({"shards", "linger_ms"})
-    ->Args({16, 80})
-    ->Args({64, 320})
+BENCHMARK(BM_ClaimsWithInterval)
+    ->ArgNames({"shards", "orders_per_s"})
+    ->ArgsProduct({{16, 64, 256}, {10, 240, 480, 1200}})
     ->Iterations(1)
     ->Unit(benchmark::kMillisecond);
 
--- a/include/azuregw/orders/claim_batcher.h
+++ b/include/azuregw/orders/claim_batcher.h
@@ -46,7 +46,7 @@
   size_t seal_bytes = size_t{256} * 1024;       // Size above which settled claims are sealed.
   size_t max_batch = 1000;                      // Claims and outcomes in one swap.
   size_t max_batch_bytes = size_t{256} * 1024;  // Of claims and outcomes in one swap.
-  Milliseconds claim_linger{0};                 // Time for which a first claim waits for others.
+  Milliseconds swap_interval{0};  // Between swaps with claims; bounds the writes of a busy shard.
   Milliseconds outcome_linger{100};  // Time for which an outcome waits for a claim to go with.
   Milliseconds first_backoff{20};    // After a call that found the store unavailable; doubles.
   Milliseconds max_backoff{500};
@@ -159,6 +159,7 @@
   std::optional<StoreCall> Choose(TimePoint now, int64_t wall_ms);
   bool ClaimsDue(TimePoint now) const;
   bool OutcomesDue(TimePoint now) const;
+  TimePoint NextSwap() const { return m_last_swap + m_options.swap_interval; }
   void AnswerFromRecord(int64_t wall_ms);
   std::optional<StoreCall> BuildSwap(TimePoint now, int64_t wall_ms);
   bool ApplyOutcomes(size_t* bytes);
@@ -224,6 +225,7 @@
   std::optional<Seal> m_seal;
   std::deque<std::string> m_doomed;  // Keys to be deleted; a failed deletion is not repeated.
   std::optional<KvEntry> m_doomed_entry;
+  TimePoint m_last_swap{};  // Start of the last swap with claims.
   TimePoint m_not_before{};
   Milliseconds m_backoff{0};
   bool m_flushing = false;
--- a/src/orders/claim_batcher.cc
+++ b/src/orders/claim_batcher.cc
@@ -124,14 +124,14 @@
 }
 
 bool ClaimBatcher::ClaimsDue(TimePoint now) const {
-  return std::any_of(m_claims.begin(), m_claims.end(), [&](const Waiting& waiting) {
-    return waiting.done && !waiting.reads_body && now >= waiting.arrived + m_options.claim_linger;
-  });
+  const auto waits = [](const Waiting& waiting) { return waiting.done && !waiting.reads_body; };
+  return now >= NextSwap() && std::any_of(m_claims.begin(), m_claims.end(), waits);
 }
 
 bool ClaimBatcher::OutcomesDue(TimePoint now) const {
   return !m_outcomes.empty() &&
-         (m_flushing || now >= m_outcomes.front().arrived + m_options.outcome_linger);
+         (m_flushing ||
+          now >= std::max(NextSwap(), m_outcomes.front().arrived + m_options.outcome_linger));
 }
 
 void ClaimBatcher::AnswerFromRecord(int64_t wall_ms) {
@@ -177,6 +177,9 @@
   std::string text = m_candidate.Encode();
   m_candidate_bytes = text.size();
   ++m_counters.swaps;
+  if (claims_changed) {
+    m_last_swap = now;
+  }
   return Write(Call::kSwap, m_prefix, m_revision, std::move(text));
 }
 
@@ -315,13 +318,14 @@
     if (waiting.done) {
       consider(waiting.deadline);
       if (m_call == Call::kNone) {
-        consider(std::max(m_not_before, waiting.arrived + m_options.claim_linger));
+        consider(std::max({m_not_before, waiting.arrived, NextSwap()}));
       }
     }
   }
   if (m_call == Call::kNone && !m_outcomes.empty()) {
-    const Milliseconds linger = m_flushing ? Milliseconds(0) : m_options.outcome_linger;
-    consider(std::max(m_not_before, m_outcomes.front().arrived + linger));
+    const TimePoint due =
+        std::max(NextSwap(), m_outcomes.front().arrived + m_options.outcome_linger);
+    consider(m_flushing ? m_not_before : std::max(m_not_before, due));
   }
   return wake;
 }
--- a/src/orders/order_committer.cc
+++ b/src/orders/order_committer.cc
@@ -4,6 +4,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <cstdlib>
@@ -23,6 +24,10 @@
 // Period of the check for deadlines, lingers and back-offs.
 constexpr Milliseconds kTick{5};
 
+// Longest pause between two swaps of a shard. With more shards than it allows for, a second claim
+// in a shard would wait too long.
+constexpr Milliseconds kMaxSwapInterval{1000};
+
 StoreReply Execute(KeyValueStore* store, const StoreCall& call) {
   StoreReply reply;
   switch (call.kind) {
@@ -164,6 +169,13 @@
     MakeReady(shard);
   }
 
+  BatcherOptions BatcherOptionsForLayout() const {
+    BatcherOptions options = m_options.batcher;
+    const Milliseconds interval(1000 * m_shards / std::max(1, m_options.max_swaps_per_s));
+    options.swap_interval = std::min(interval, kMaxSwapInterval);
+    return options;
+  }
+
   Slot* FindSlot(int shard) {
     const std::lock_guard<std::mutex> lock(m_mutex);
     std::unique_ptr<Slot>& slot = m_slots[shard];
