--- a/bench/order_claims_bench.cc
+++ b/bench/order_claims_bench.cc
@@ -323,10 +323,11 @@
     ->Iterations(1)
     ->Unit(benchmark::kMillisecond);
 
-// Bytes of one settled claim with a short answer in the record.
-void BM_BytesPerClaim(benchmark::State& state) {
+constexpr int kClaims = 1000;
+
+// A record of settled claims with answers of `answer_bytes`.
+ClaimRecord SettledRecord(size_t answer_bytes) {
   ClaimRecord record;
-  constexpr int kClaims = 1000;
   for (int i = 0; i < kClaims; ++i) {
     Claim claim;
     claim.key_hash = "key-hash-of-24-char-" + std::to_string(1000 + i);
@@ -335,10 +336,16 @@
     claim.created_ms = kWallBase;
     claim.deadline_ms = kWallBase + 30000;
     claim.state = ClaimState::kRun;
-    claim.answer = RecordedAnswer{201, "application/json",
-                                  std::string(static_cast<size_t>(state.range(0)), 'x'), "", true};
+    claim.answer =
+        RecordedAnswer{201, "application/json", std::string(answer_bytes, 'x'), "", true};
     (void)record.ApplyOutcome(claim);
   }
+  return record;
+}
+
+// Time to encode a record, and bytes of one settled claim in it.
+void BM_EncodeRecord(benchmark::State& state) {
+  const ClaimRecord record = SettledRecord(static_cast<size_t>(state.range(0)));
   std::string text;
   for (auto iteration : state) {
     (void)iteration;
@@ -347,13 +354,23 @@
   }
   state.counters["bytes_per_claim"] = static_cast<double>(text.size()) / kClaims;
 }
-BENCHMARK(BM_BytesPerClaim)
+BENCHMARK(BM_EncodeRecord)
     ->ArgName("answer_bytes")
     ->Arg(0)
     ->Arg(60)
     ->Arg(500)
     ->Unit(benchmark::kMicrosecond);
 
+// Time to decode a record, as for each generation when a shard gets a new owner.
+void BM_DecodeRecord(benchmark::State& state) {
+  const std::string text = SettledRecord(static_cast<size_t>(state.range(0))).Encode();
+  for (auto iteration : state) {
+    (void)iteration;
+    benchmark::DoNotOptimize(ClaimRecord::Decode(text));
+  }
+}
+BENCHMARK(BM_DecodeRecord)->ArgName("answer_bytes")->Arg(60)->Unit(benchmark::kMicrosecond);
+
 }  // namespace
 }  // namespace azuregw
 
