--- a/tests/failure/leaving_and_drain_test.cc
+++ b/tests/failure/leaving_and_drain_test.cc
@@ -3,6 +3,7 @@
 
 #include <signal.h>
 
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <string>
--- a/tests/failure/order_test.cc
+++ b/tests/failure/order_test.cc
@@ -33,7 +33,8 @@
 int Effects(const Cluster& cluster, std::vector<Node>* services, const std::string& key) {
   int total = 0;
   for (const Node& service : *services) {
-    for (const auto& [name, count] : cluster.Control(service, "/test/effects").items()) {
+    const json effects = cluster.Control(service, "/test/effects");
+    for (const auto& [name, count] : effects.items()) {
       const bool matches =
           name.size() >= key.size() && name.compare(name.size() - key.size(), key.size(), key) == 0;
       total += matches ? count.get<int>() : 0;
--- a/tests/fakes/fake_engine.cc
+++ b/tests/fakes/fake_engine.cc
@@ -102,7 +102,8 @@
   } else if (request.path == "/test/drop_replies") {
     m_drop_replies = static_cast<int>(request.QueryInt("count", 0));
   } else if (request.path == "/test/links") {  // PUT: {"address": ms}
-    for (const auto& [address, ms] : json::parse(request.body).items()) {
+    const json times = json::parse(request.body);
+    for (const auto& [address, ms] : times.items()) {
       m_link_times[address] = microseconds(static_cast<int64_t>(ms.get<double>() * 1000));
     }
   } else if (request.path == "/test/stats") {
--- a/tests/support/http_client.cc
+++ b/tests/support/http_client.cc
@@ -21,6 +21,8 @@
 using std::chrono::steady_clock;
 
 constexpr size_t kReadBufferBytes = 16384;
+// Boost 1.74 reads an uninitialised value when the limit is none.
+constexpr uint64_t kMaxBodyBytes = uint64_t{256} << 20;
 
 std::string LowerCase(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(),
@@ -245,7 +247,7 @@
     code = connection.Write(&request);
   }
   http::response_parser<http::string_body> parser;
-  parser.body_limit(boost::none);
+  parser.body_limit(kMaxBodyBytes);
   parser.skip(method == "HEAD");
   if (!code) {
     code = connection.ReadAll(&parser);
@@ -273,7 +275,7 @@
     code = connection.Write(&request);
   }
   http::response_parser<http::buffer_body> parser;
-  parser.body_limit(boost::none);
+  parser.body_limit(kMaxBodyBytes);
   if (!code) {
     code = connection.ReadHeader(&parser);
   }
