--- a/include/azuregw/pipeline/pipeline_session.h
+++ b/include/azuregw/pipeline/pipeline_session.h
@@ -50,7 +50,7 @@
   bool Ended() const { return m_phase == Phase::kEnded; }
   // The chain with its replacements.
   Chain CurrentChain() const;
-  // Repairs are bounded in a row, until the next token; see kMaxRepairsInRow.
+  // Repairs so far; they end with the deadline.
   int Repairs() const { return m_repairs; }
 
  protected:
@@ -82,7 +82,6 @@
   struct Repair {
     int stage = 0;
     RepairKind kind = RepairKind::kRecompute;
-    ResultCode cause = ResultCode::kOk;
     ChainStage replacement;  // Meaningful in kImporting.
   };
   struct Raise {
@@ -119,7 +118,7 @@
   // Repair (session_repair.cc).
   void HandleStepFailure(int index, const Error& error);
   void BeginRepair(int index, RepairKind kind, const Error& error);
-  bool CountRepair(const Error& error);
+  void CountRepair();
   void Select();
   void WaitBeforeRetry(bool select);
   void OnBackoffOver();
--- a/src/pipeline/session_repair.cc
+++ b/src/pipeline/session_repair.cc
@@ -9,8 +9,9 @@
 namespace azuregw {
 namespace {
 
-// Ends a sequence that fails everywhere; the deadline ends one whose engines come back late.
-constexpr int kMaxRepairsInRow = 16;
+// Further repairs before the next output wait, so that a sequence that fails everywhere does not
+// load the engines until its deadline.
+constexpr int kImmediateRepairsInRow = 3;
 constexpr Milliseconds kFirstBackoff{20};
 constexpr Milliseconds kMaxBackoff{1000};
 // A frozen engine never answers an import, and the caller waits meanwhile.
@@ -35,7 +36,8 @@
     case ResultCode::kOverloaded:
       if (stage.done == 0) {
         BeginRepair(index, RepairKind::kRecompute, error);
-      } else if (CountRepair(error)) {
+      } else {
+        CountRepair();
         WaitBeforeRetry(false);
       }
       return;
@@ -43,7 +45,8 @@
       // The engine lost its state, for example in a restart, but it answers.
       if (m_repairs_in_row > 0) {
         BeginRepair(index, RepairKind::kRecompute, error);
-      } else if (CountRepair(error)) {
+      } else {
+        CountRepair();
         Recompute(index, ChainStage(stage.engine));
       }
       return;
@@ -57,28 +60,25 @@
   }
 }
 
-bool PipelineSession::CountRepair(const Error& error) {
+void PipelineSession::CountRepair() {
   ++m_repairs;
   ++m_repairs_in_row;
-  if (m_repairs_in_row > kMaxRepairsInRow) {
-    FailWith(error, true);
-    return false;
-  }
-  return true;
 }
 
 void PipelineSession::BeginRepair(int index, RepairKind kind, const Error& error) {
   m_last_error = error;
-  if (!CountRepair(error)) {
-    return;
-  }
+  CountRepair();
   Stage& stage = m_stages[index];
   if (std::find(stage.excluded.begin(), stage.excluded.end(), stage.engine.upstream) ==
       stage.excluded.end()) {
     stage.excluded.push_back(stage.engine.upstream);
   }
-  m_repair = Repair{index, kind, error.code, ChainStage()};
-  Select();
+  m_repair = Repair{index, kind, ChainStage()};
+  if (m_repairs_in_row > kImmediateRepairsInRow) {
+    WaitBeforeRetry(true);
+  } else {
+    Select();
+  }
 }
 
 void PipelineSession::Select() {
--- /dev/null
+++ b/tests/pipeline/session_world.cc
@@ -0,0 +1,511 @@
+// A simulated world around one PipelineSession.
+
+#include "tests/pipeline/session_world.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace azuregw::testing {
+namespace {
+
+constexpr int kLayersPerStage = 2;
+constexpr Milliseconds kStepTimeout{200};
+
+std::string AddressOf(int stage, int engine) {
+  return "127.0.0.1:" + std::to_string(1000 + stage * 100 + engine);
+}
+
+template <class T>
+T Take(std::vector<T>* values, size_t index) {
+  T value = (*values)[index];
+  values->erase(values->begin() + static_cast<std::ptrdiff_t>(index));
+  return value;
+}
+
+}  // namespace
+
+SessionWorld::SessionWorld(const WorldOptions& options, std::vector<Fault> faults,
+                           SessionFactory factory)
+    : m_options(options),
+      m_faults(std::move(faults)),
+      m_factory(std::move(factory)),
+      m_random(MakeRandom(options.seed)) {
+  for (int stage = 0; stage < options.stages; ++stage) {
+    for (int engine = 0; engine < options.engines_per_stage; ++engine) {
+      Engine entry;
+      const std::string address = AddressOf(stage, engine);
+      entry.stage = {"engine-" + address,
+                     address,
+                     {stage * kLayersPerStage, (stage + 1) * kLayersPerStage},
+                     "fd-a"};
+      m_engines.emplace(address, std::move(entry));
+    }
+  }
+}
+
+std::string SessionWorld::Run(Milliseconds limit) {
+  StartSession(BaseSpec());
+  const TimePoint end = m_now + limit;
+  while (!m_queue.empty() && m_violation.empty() && !m_finished && !m_failure) {
+    const auto next = m_queue.begin();
+    if (next->first > end) {
+      break;
+    }
+    m_now = next->first;
+    const Work work = std::move(next->second);
+    m_queue.erase(next);
+    work();
+  }
+  if (m_violation.empty() && !m_finished && !m_failure) {
+    return "the answer did not end";
+  }
+  return m_violation;
+}
+
+int SessionWorld::open_sequences() const {
+  int count = 0;
+  for (const auto& [address, engine] : m_engines) {
+    count += static_cast<int>(engine.sequences.size());
+  }
+  return count;
+}
+
+void SessionWorld::After(Milliseconds delay, Work work) {
+  m_queue.emplace(m_now + delay, std::move(work));
+}
+
+void SessionWorld::Violate(const std::string& what) {
+  if (m_violation.empty()) {
+    m_violation = what;
+  }
+}
+
+SessionSpec SessionWorld::BaseSpec() {
+  SessionSpec spec;
+  spec.sequence_id = "r1";
+  spec.model = "design";
+  spec.transfer = m_options.transfer;
+  spec.prompt = m_prompt;
+  spec.max_tokens = m_options.max_tokens;
+  spec.step_timeout = kStepTimeout;
+  spec.deadline = m_now + m_options.deadline;
+  spec.progress_timeout = m_options.deadline;
+  for (int stage = 0; stage < m_options.stages; ++stage) {
+    spec.chain.stages.push_back(m_engines.at(AddressOf(stage, 0)).stage);
+  }
+  return spec;
+}
+
+void SessionWorld::StartSession(SessionSpec spec) {
+  ++m_session_number;
+  m_session = m_factory(std::move(spec));
+  Post(SessionStart{});
+}
+
+void SessionWorld::Resume() {
+  SessionSpec spec = BaseSpec();
+  if (m_token) {
+    spec.chain = m_token_chain;
+    spec.resume = m_token;
+    spec.last_event_id = m_received - 1;
+  } else {
+    // The caller got nothing and repeats its request, which is a new one.
+    spec.sequence_id = "r" + std::to_string(m_session_number + 1);
+  }
+  spec.epoch_base = static_cast<uint32_t>(m_session_number) * 1000;
+  StartSession(std::move(spec));
+}
+
+void SessionWorld::Post(const SessionEvent& event) {
+  if (m_session->Ended() || !m_violation.empty()) {
+    return;
+  }
+  for (const SessionAction& action : m_session->Handle(event, m_now)) {
+    std::visit([this](const auto& concrete) { Perform(concrete); }, action);
+  }
+}
+
+std::optional<Fault> SessionWorld::TakeFault() {
+  for (size_t i = 0; i < m_faults.size(); ++i) {
+    if (m_faults[i].step == m_steps) {
+      return Take(&m_faults, i);
+    }
+  }
+  return std::nullopt;
+}
+
+void SessionWorld::Crash(Engine* engine, int duration_ms) {
+  engine->sequences.clear();
+  engine->down_until = m_now + Milliseconds(duration_ms);
+}
+
+void SessionWorld::Strike(const Fault& fault, Engine* engine, int stage) {
+  switch (fault.kind) {
+    case FaultKind::kCrash:
+      Crash(engine, fault.duration_ms);
+      break;
+    case FaultKind::kCrashBoth: {
+      Crash(engine, fault.duration_ms);
+      const Chain chain = m_session->CurrentChain();
+      if (stage > 0 && !chain.stages[stage - 1].address.empty()) {
+        Crash(Find(chain.stages[stage - 1].address), fault.duration_ms);
+      }
+      break;
+    }
+    case FaultKind::kFreeze:
+      engine->frozen_until = m_now + Milliseconds(fault.duration_ms);
+      break;
+    case FaultKind::kLeave:
+      engine->leaving = true;
+      After(Milliseconds(fault.duration_ms), [this, engine] {
+        engine->leaving = false;
+        Crash(engine, 0);
+      });
+      break;
+    default:
+      break;
+  }
+}
+
+void SessionWorld::Perform(const SendStep& action) {
+  ++m_steps;
+  Engine* engine = Find(action.request.address);
+  std::optional<Fault> fault = TakeFault();
+  if (fault && fault->kind == FaultKind::kInstance) {
+    const int number = m_session_number;
+    After(Milliseconds(m_random->Below(20)), [this, number] {
+      if (number == m_session_number && !m_session->Ended()) {
+        Resume();
+      }
+    });
+  } else if (fault) {
+    Strike(*fault, engine, action.stage);
+  }
+  const SendStep sent = action;
+  After(Milliseconds(1 + m_random->Below(3)), [this, sent, fault] { Deliver(sent, fault); });
+  const int number = m_session_number;
+  After(action.request.timeout, [this, sent, number] {
+    if (number == m_session_number) {
+      Post(StepFailed{sent.stage, sent.request.sequence, sent.request.attempt,
+                      sent.request.first_token, Unknown(ResultCode::kUpstreamTimeout, "timeout")});
+    }
+  });
+}
+
+void SessionWorld::Deliver(const SendStep& sent, const std::optional<Fault>& fault) {
+  Engine* engine = Find(sent.request.address);
+  if (engine->frozen_until > m_now) {
+    After(std::chrono::duration_cast<Milliseconds>(engine->frozen_until - m_now) + Milliseconds(1),
+          [this, sent, fault] { Deliver(sent, fault); });
+    return;
+  }
+  const Result<StepResult> result = Execute(engine, sent.request);
+  const int number = m_session_number;
+  const Work reply = [this, sent, result, number] {
+    if (number != m_session_number) {
+      return;
+    }
+    if (result) {
+      Post(StepDone{sent.stage, sent.request.sequence, sent.request.attempt, result.value()});
+    } else {
+      Post(StepFailed{sent.stage, sent.request.sequence, sent.request.attempt,
+                      sent.request.first_token, result.error()});
+    }
+  };
+  const FaultKind kind = fault ? fault->kind : FaultKind::kCrash;
+  if (kind == FaultKind::kLoseReply) {
+    return;
+  }
+  const int late = kind == FaultKind::kLateReply ? 150 + fault->duration_ms : 1;
+  After(Milliseconds(late), reply);
+  if (kind == FaultKind::kDuplicate) {
+    After(Milliseconds(1 + m_random->Below(30)), reply);
+  }
+}
+
+bool SessionWorld::Answers(const Engine& engine) const {
+  return engine.down_until <= m_now && engine.frozen_until <= m_now;
+}
+
+SessionWorld::Engine* SessionWorld::Find(const std::string& address) {
+  return &m_engines.at(address);
+}
+
+Result<std::vector<uint64_t>> SessionWorld::Inputs(const StepRequest& request) {
+  std::vector<uint64_t> inputs;
+  std::vector<uint32_t> tokens;
+  if (const auto* text = std::get_if<PromptText>(&request.input)) {
+    tokens = fakes::Tokenize(text->text);
+  } else if (const auto* ids = std::get_if<TokenIds>(&request.input)) {
+    tokens = ids->ids;
+  } else if (const auto* values = std::get_if<InlineActivations>(&request.input)) {
+    for (const std::string& value : values->values) {
+      inputs.push_back(fakes::FromHex(value));
+    }
+  } else {
+    const auto& fetch = std::get<FetchActivations>(request.input);
+    const Engine& source = *Find(fetch.address);
+    const auto found = source.sequences.find(fetch.sequence);
+    const size_t end = static_cast<size_t>(fetch.first_token + fetch.token_count);
+    if (!Answers(source) || found == source.sequences.end() || end > found->second.outputs.size()) {
+      return NotRun(ResultCode::kFetchFailed, "fetch failed");
+    }
+    inputs.assign(found->second.outputs.begin() + fetch.first_token,
+                  found->second.outputs.begin() + static_cast<std::ptrdiff_t>(end));
+  }
+  for (size_t i = 0; i < tokens.size(); ++i) {
+    inputs.push_back(fakes::Embed(tokens[i], request.first_token + static_cast<int>(i)));
+  }
+  return inputs;
+}
+
+std::optional<Error> SessionWorld::CheckStep(Engine* engine, const StepRequest& request,
+                                             int count) {
+  const auto found = engine->sequences.find(request.sequence);
+  if (found == engine->sequences.end()) {
+    if (request.first_token > 0) {
+      return NotRun(ResultCode::kUnknownSequence, "unknown_sequence");
+    }
+    if (engine->leaving) {
+      return NotRun(ResultCode::kUpstreamLeaving, "leaving");
+    }
+    engine->sequences[request.sequence].caches.assign(kLayersPerStage, 0);
+    engine->sequences[request.sequence].attempt = request.attempt;
+    return std::nullopt;
+  }
+  Sequence& sequence = found->second;
+  const int tokens = static_cast<int>(sequence.outputs.size());
+  if (request.attempt < sequence.attempt) {
+    return NotRun(ResultCode::kStaleAttempt, "stale_attempt");
+  }
+  if (sequence.moved) {
+    return NotRun(ResultCode::kUpstreamRefused, "moved");
+  }
+  sequence.attempt = request.attempt;
+  if (request.first_token + count > tokens && request.first_token != tokens) {
+    return NotRun(ResultCode::kUpstreamRefused, "out_of_order");
+  }
+  return std::nullopt;
+}
+
+Result<StepResult> SessionWorld::Execute(Engine* engine, const StepRequest& request) {
+  if (engine->down_until > m_now) {
+    return NotRun(ResultCode::kUpstreamUnreachable, "refused");
+  }
+  const auto inputs = Inputs(request);
+  if (!inputs) {
+    return inputs.error();
+  }
+  const int count = static_cast<int>(inputs.value().size());
+  if (const auto error = CheckStep(engine, request, count)) {
+    return *error;
+  }
+  const Sequence& sequence = engine->sequences.at(request.sequence);
+  if (request.first_token + count > static_cast<int>(sequence.outputs.size())) {
+    RunTokens(engine, request, inputs.value());
+  }
+  return ResultOf(sequence, request, count);
+}
+
+void SessionWorld::RunTokens(Engine* engine, const StepRequest& request,
+                             const std::vector<uint64_t>& inputs) {
+  Sequence& sequence = engine->sequences.at(request.sequence);
+  for (uint64_t value : inputs) {
+    const int token = static_cast<int>(sequence.outputs.size());
+    for (int i = 0; i < kLayersPerStage; ++i) {
+      const int layer = request.range.first + i;
+      value = fakes::RunLayer(value, layer, token, &sequence.caches[static_cast<size_t>(i)]);
+      if (!m_ran.emplace(request.sequence, layer, token).second) {
+        Violate("(" + request.sequence + ", layer " + std::to_string(layer) + ", token " +
+                std::to_string(token) + ") ran twice");
+      }
+    }
+    sequence.outputs.push_back(value);
+  }
+  if (request.range.last == m_options.stages * kLayersPerStage) {
+    uint64_t output = sequence.outputs.back();
+    if (m_options.random_sampling) {
+      output = fakes::MixWords(output, fakes::Embed(1, static_cast<int>(m_ran.size())), 7);
+    }
+    sequence.samples[static_cast<int>(sequence.outputs.size())] = fakes::SampleToken(output);
+  }
+}
+
+StepResult SessionWorld::ResultOf(const Sequence& sequence, const StepRequest& request, int count) {
+  StepResult result;
+  result.sequence = request.sequence;
+  result.attempt = request.attempt;
+  result.first_token = request.first_token;
+  result.token_count = count;
+  if (request.output == ActivationTransfer::kInline) {
+    for (int i = 0; i < count; ++i) {
+      result.activations.push_back(
+          fakes::ToHex(sequence.outputs[static_cast<size_t>(request.first_token + i)]));
+    }
+  }
+  const auto sample = sequence.samples.find(request.first_token + count);
+  if (sample != sequence.samples.end()) {
+    result.has_token = true;
+    result.token = sample->second.token;
+    result.text = sample->second.text;
+    result.end = sample->second.end;
+  }
+  return result;
+}
+
+void SessionWorld::Perform(const RaiseAttempt& action) {
+  const int number = m_session_number;
+  After(Milliseconds(2), [this, action, number] {
+    Engine* engine = Find(action.address);
+    if (engine->frozen_until > m_now) {
+      return;
+    }
+    Result<AttemptReply> reply = AttemptReply();
+    const auto found = engine->sequences.find(action.sequence);
+    if (engine->down_until > m_now) {
+      reply = NotRun(ResultCode::kUpstreamUnreachable, "refused");
+    } else if (found == engine->sequences.end() || found->second.moved) {
+      reply = NotRun(ResultCode::kUnknownSequence, "unknown_sequence");
+    } else if (found->second.attempt >= action.attempt) {
+      reply = NotRun(ResultCode::kStaleAttempt, "stale_attempt");
+    } else {
+      found->second.attempt = action.attempt;
+      reply.value().tokens = static_cast<int>(found->second.outputs.size());
+      for (const auto& [position, sample] : found->second.samples) {
+        reply.value().outputs.push_back({sample.token, sample.text, sample.end});
+      }
+    }
+    if (number == m_session_number) {
+      Post(AttemptRaised{action.stage, action.attempt, reply});
+    }
+  });
+}
+
+void SessionWorld::Perform(const ImportKv& action) {
+  const int number = m_session_number;
+  After(Milliseconds(2), [this, action, number] {
+    Engine* target = Find(action.address);
+    Engine* source = Find(action.source);
+    if (target->frozen_until > m_now || source->frozen_until > m_now) {
+      return;
+    }
+    Result<int> tokens = NotRun(ResultCode::kFetchFailed, "source failed");
+    const auto found = source->sequences.find(action.sequence);
+    if (target->down_until <= m_now && source->down_until <= m_now && !target->leaving &&
+        found != source->sequences.end()) {
+      found->second.moved = true;
+      Sequence copy = found->second;
+      copy.moved = false;
+      copy.attempt = action.attempt;
+      tokens = static_cast<int>(copy.outputs.size());
+      target->sequences[action.sequence] = std::move(copy);
+    }
+    if (number == m_session_number) {
+      Post(ImportDone{action.stage, action.sequence, action.attempt, tokens});
+    }
+  });
+}
+
+void SessionWorld::Perform(const SelectReplacement& action) {
+  std::vector<ChainStage> candidates;
+  for (const auto& [address, engine] : m_engines) {
+    const bool excluded = std::find(action.excluded.begin(), action.excluded.end(),
+                                    engine.stage.upstream) != action.excluded.end();
+    if (engine.stage.range == action.range && !excluded && !engine.leaving) {
+      candidates.push_back(engine.stage);
+    }
+  }
+  Result<ChainStage> chosen = NotRun(ResultCode::kNoChain, "no engine");
+  if (action.draws_on_budget && m_random->Below(5) == 0) {
+    chosen = NotRun(ResultCode::kRetryBudgetExhausted, "budget");
+  } else if (!candidates.empty()) {
+    chosen = candidates[m_random->Below(candidates.size())];
+  }
+  const int number = m_session_number;
+  After(Milliseconds(0), [this, stage = action.stage, chosen, number] {
+    if (number == m_session_number) {
+      Post(ReplacementChosen{stage, chosen});
+    }
+  });
+}
+
+uint64_t SessionWorld::Reference(int token_count) const {
+  std::vector<uint32_t> tokens = fakes::Tokenize(m_prompt);
+  tokens.insert(tokens.end(), m_received_tokens.begin(), m_received_tokens.end());
+  std::vector<uint64_t> caches(static_cast<size_t>(m_options.stages * kLayersPerStage), 0);
+  uint64_t value = 0;
+  for (int token = 0; token < token_count; ++token) {
+    value = fakes::Embed(tokens.at(static_cast<size_t>(token)), token);
+    for (size_t layer = 0; layer < caches.size(); ++layer) {
+      value = fakes::RunLayer(value, static_cast<int>(layer), token, &caches[layer]);
+    }
+  }
+  return value;
+}
+
+void SessionWorld::Perform(const EmitToken& action) {
+  if (action.position != m_received) {
+    Violate("position " + std::to_string(action.position) + " follows " +
+            std::to_string(m_received - 1));
+    return;
+  }
+  const int before = static_cast<int>(fakes::Tokenize(m_prompt).size()) + m_received;
+  const uint64_t expected = Reference(before);
+  // The lineage that ends in the current engine of the last stage gave this output.
+  const ChainStage last = m_session->CurrentChain().stages.back();
+  bool found = false;
+  for (const auto& [name, sequence] : Find(last.address)->sequences) {
+    const auto sample = sequence.samples.find(before);
+    found = found || (sample != sequence.samples.end() && sample->second.text == action.text &&
+                      sequence.outputs[static_cast<size_t>(before - 1)] == expected);
+  }
+  const bool checked = Answers(*Find(last.address));
+  if (checked && !found) {
+    Violate("output " + std::to_string(action.position) + " is not of the current lineage");
+  }
+  if (!m_options.random_sampling && action.text != fakes::SampleToken(expected).text) {
+    Violate("output " + std::to_string(action.position) + " is wrong");
+  }
+  m_received_tokens.push_back(static_cast<uint32_t>(std::stoul(action.text.substr(1))));
+  m_text += action.text;
+  ++m_received;
+}
+
+void SessionWorld::Perform(const EmitResumeToken& action) {
+  m_token = action.point;
+  m_token_chain = m_session->CurrentChain();
+}
+
+void SessionWorld::Perform(const Cancel& action) {
+  After(Milliseconds(1), [this, action] {
+    Engine* engine = Find(action.address);
+    const auto found = engine->sequences.find(action.sequence);
+    if (Answers(*engine) && found != engine->sequences.end() &&
+        found->second.attempt <= action.attempt) {
+      engine->sequences.erase(found);
+    }
+  });
+}
+
+void SessionWorld::Perform(const Finish& action) {
+  m_finished = true;
+  if (action.completion_tokens != m_received) {
+    Violate("the answer is not whole");
+  }
+  if (action.reason == FinishReason::kLength && m_received != m_options.max_tokens) {
+    Violate("the answer is too short");
+  }
+}
+
+void SessionWorld::Perform(const Fail& action) { m_failure = action.error; }
+
+void SessionWorld::Perform(const ArmTimer& action) {
+  const int number = m_session_number;
+  m_queue.emplace(action.at, [this, timer = action.timer, number] {
+    if (number == m_session_number) {
+      Post(Timeout{timer});
+    }
+  });
+}
+
+}  // namespace azuregw::testing
--- /dev/null
+++ b/tests/pipeline/session_world.h
@@ -0,0 +1,148 @@
+// A simulated world around one PipelineSession: engines with the semantics of docs/assumptions.md,
+// a clock, and faults. Deterministic.
+
+#ifndef TESTS_PIPELINE_SESSION_WORLD_H_
+#define TESTS_PIPELINE_SESSION_WORLD_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "azuregw/base/random.h"
+#include "azuregw/pipeline/pipeline_session.h"
+#include "tests/fakes/reference_model.h"
+
+namespace azuregw::testing {
+
+enum class FaultKind {
+  kCrash,      // The engine loses its state and refuses connections for a while.
+  kFreeze,     // The engine answers nothing for a while, then goes on.
+  kLeave,      // The engine refuses new sequences from now on.
+  kLoseReply,  // The step runs, its reply is lost.
+  kLateReply,  // The step runs, its reply comes after the timeout.
+  kDuplicate,  // The reply arrives twice.
+  kCrashBoth,  // The engine and that of the previous stage crash.
+  kInstance,   // The instance dies, and another one continues with the last resume token.
+};
+
+struct Fault {
+  int step = 0;  // Number of the SendStep at which it strikes.
+  FaultKind kind = FaultKind::kCrash;
+  int duration_ms = 0;  // Of kCrash, kFreeze, kLeave and kCrashBoth; delay of kLateReply.
+};
+
+struct WorldOptions {
+  int stages = 3;
+  int engines_per_stage = 3;
+  int max_tokens = 12;
+  ActivationTransfer transfer = ActivationTransfer::kHandle;
+  // The last stage samples another token per sequence name, as real engines do; a sequence that
+  // cannot keep to one lineage then shows.
+  bool random_sampling = false;
+  uint64_t seed = 1;
+  // Longer than any sequence of faults that the properties generate.
+  Milliseconds deadline{600000};
+};
+
+using SessionFactory = std::function<std::unique_ptr<PipelineSession>(SessionSpec)>;
+
+class SessionWorld {
+ public:
+  SessionWorld(const WorldOptions& options, std::vector<Fault> faults, SessionFactory factory);
+
+  // Runs until the answer ends or `limit` has passed; returns what was violated, or "".
+  std::string Run(Milliseconds limit = Milliseconds(1200000));
+
+  int runs() const { return static_cast<int>(m_ran.size()); }
+  int repairs() const { return m_repairs; }
+  Milliseconds elapsed() const { return std::chrono::duration_cast<Milliseconds>(m_now - m_start); }
+  const std::string& text() const { return m_text; }
+  const std::optional<Error>& failure() const { return m_failure; }
+  int open_sequences() const;
+
+ private:
+  struct Sequence {
+    uint32_t attempt = 0;
+    bool moved = false;
+    std::vector<uint64_t> caches;
+    std::vector<uint64_t> outputs;         // Per token.
+    std::map<int, fakes::Sample> samples;  // By the number of tokens before the sampled one.
+  };
+  struct Engine {
+    ChainStage stage;
+    TimePoint down_until;
+    TimePoint frozen_until;
+    bool leaving = false;
+    std::map<std::string, Sequence> sequences;
+  };
+  using Work = std::function<void()>;
+
+  void After(Milliseconds delay, Work work);
+  void Post(const SessionEvent& event);
+  void StartSession(SessionSpec spec);
+  SessionSpec BaseSpec();
+  void Resume();
+  void Violate(const std::string& what);
+
+  void Perform(const SendStep& action);
+  void Perform(const RaiseAttempt& action);
+  void Perform(const ImportKv& action);
+  void Perform(const SelectReplacement& action);
+  void Perform(const EmitToken& action);
+  void Perform(const EmitResumeToken& action);
+  void Perform(const Cancel& action);
+  void Perform(const Finish& action);
+  void Perform(const Fail& action);
+  void Perform(const ArmTimer& action);
+  void Perform(const StageReplaced&) {}
+  void Perform(const RecordEvent&) { ++m_repairs; }
+
+  std::optional<Fault> TakeFault();
+  void Strike(const Fault& fault, Engine* engine, int stage);
+  void Crash(Engine* engine, int duration_ms);
+  void Deliver(const SendStep& action, const std::optional<Fault>& fault);
+  Result<StepResult> Execute(Engine* engine, const StepRequest& request);
+  std::optional<Error> CheckStep(Engine* engine, const StepRequest& request, int count);
+  Result<std::vector<uint64_t>> Inputs(const StepRequest& request);
+  void RunTokens(Engine* engine, const StepRequest& request, const std::vector<uint64_t>& inputs);
+  StepResult ResultOf(const Sequence& sequence, const StepRequest& request, int count);
+  Engine* Find(const std::string& address);
+  bool Answers(const Engine& engine) const;
+  uint64_t Reference(int token_count) const;
+
+  const WorldOptions m_options;
+  std::vector<Fault> m_faults;
+  const SessionFactory m_factory;
+  const std::unique_ptr<Random> m_random;
+  const std::string m_prompt = "one two three four five";
+  std::map<std::string, Engine> m_engines;  // By address.
+  std::unique_ptr<PipelineSession> m_session;
+  int m_session_number = 0;  // Events for an earlier session are dropped.
+
+  const TimePoint m_start = TimePoint() + std::chrono::hours(1);
+  TimePoint m_now = m_start;
+  std::multimap<TimePoint, Work> m_queue;
+  int m_steps = 0;
+  // Every (sequence, layer, token) that ran anywhere.
+  std::set<std::tuple<std::string, int, int>> m_ran;
+
+  std::optional<ResumePoint> m_token;
+  Chain m_token_chain;
+  int m_received = 0;  // Outputs that the caller holds; the next position.
+  std::vector<uint32_t> m_received_tokens;
+  std::string m_text;
+  int m_repairs = 0;
+  bool m_finished = false;
+  std::optional<Error> m_failure;
+  std::string m_violation;
+};
+
+}  // namespace azuregw::testing
+
+#endif  // TESTS_PIPELINE_SESSION_WORLD_H_
