Admit as many sequences as keep all layer ranges busy

Cause: the admission bound was the number of steps that the bottleneck range runs at the same time, but a sequence occupies only one stage at a time, so with three ranges two thirds of the engines idled and callers queued. Ruled out: the engines (their queues were empty) and the chain choice (all engines were used). Conclusion: the bound is the maximum flow in tokens per ms times the time of a token in the chain, with a factor of 2 for waiting.

--- a/include/azuregw/preset/preset.h
+++ b/include/azuregw/preset/preset.h
@@ -40,7 +40,7 @@
   LayerRange range;
   std::string kind;  // Kind of accelerator.
   std::string failure_domain;
-  int capacity = 1;       // Sequences run at the same time.
+  int capacity = 1;       // Steps of different sequences run at the same time.
   double step_ms = 10.0;  // Time of one decode step without load.
   bool checks_fencing = false;
   std::string version;
--- a/src/admission/capacity.cc
+++ b/src/admission/capacity.cc
@@ -50,19 +50,57 @@
   }
 }
 
+// Engines of one model that are not leaving.
+struct ModelEngines {
+  Residual tokens_per_ms;  // By the boundaries of the ranges.
+  Residual capacity;       // Steps at the same time, by the boundaries of the ranges.
+};
+
+// Time of one token through the shortest chain of ranges, in ms, at the mean speed of each range.
+double ChainMs(const ModelEngines& engines, int layers) {
+  std::map<int, double> reached = {{0, 0.0}};
+  for (const auto& [first, edges] : engines.capacity) {
+    const auto start = reached.find(first);
+    if (start == reached.end()) {
+      continue;
+    }
+    for (const auto& [last, capacity] : edges) {
+      const double mean_step_ms = capacity / engines.tokens_per_ms.at(first).at(last);
+      const double time = start->second + mean_step_ms;
+      const auto known = reached.find(last);
+      if (known == reached.end() || time < known->second) {
+        reached[last] = time;
+      }
+    }
+  }
+  const auto end = reached.find(layers);
+  return end == reached.end() ? 0 : end->second;
+}
+
+// A sequence occupies one engine of its chain at a time, so more sequences than one range can hold
+// are needed to keep all ranges busy: rate times time in the chain (Little's law). A step waits for
+// half an iteration on average before its own begins, and for links; the factor covers both.
+double ConcurrentSequences(const ModelEngines& engines, int layers) {
+  constexpr double kWaitFactor = 2.0;
+  return MaximumFlow(engines.tokens_per_ms, layers) * ChainMs(engines, layers) * kWaitFactor;
+}
+
 }  // namespace
 
 std::unordered_map<std::string, double> TargetCapacities(const Snapshot& snapshot) {
   std::unordered_map<std::string, double> capacities;
   const Preset& preset = *snapshot.preset;
-  std::unordered_map<std::string_view, Residual> by_model;
+  std::unordered_map<std::string_view, ModelEngines> by_model;
   for (const auto& [name, engine] : preset.engines) {
     if (snapshot.leaving_upstreams.count(name) == 0) {
-      by_model[engine.model][engine.range.first][engine.range.last] += engine.capacity;
+      ModelEngines& engines = by_model[engine.model];
+      const LayerRange range = engine.range;
+      engines.tokens_per_ms[range.first][range.last] += engine.capacity / engine.step_ms;
+      engines.capacity[range.first][range.last] += engine.capacity;
     }
   }
   for (const auto& [name, model] : preset.models) {
-    capacities["model/" + name] = MaximumFlow(std::move(by_model[name]), model.layers);
+    capacities["model/" + name] = ConcurrentSequences(by_model[name], model.layers);
   }
   for (const auto& [name, upstream] : preset.service_upstreams) {
     if (snapshot.leaving_upstreams.count(name) == 0) {
