--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -26,7 +26,7 @@
 constexpr Milliseconds kSecondAnswerLimit{1500};
 constexpr size_t kMaxFullStatesPerSecond = 5;
 // Each update is sent about this many times the logarithm of the number of members.
-constexpr size_t kSendsPerLog = 4;
+constexpr size_t kSendsPerLog = 2;
 
 size_t SendLimit(size_t members) {
   size_t log = 1;
@@ -336,7 +336,13 @@
     MergeUpdate(softened, false, now);
     return;
   }
-  if (m_table.Merge(update, now)) {
+  if (!m_table.Merge(update, now)) {
+    return;
+  }
+  if (full_state) {
+    // What a full state holds is old news; others that lack it ask for a full state themselves.
+    ++m_version;
+  } else {
     Announce(UpdateKind::kMember, update.name);
   }
 }
--- a/src/membership/update_queue.h
+++ b/src/membership/update_queue.h
@@ -1,4 +1,5 @@
-// Updates that are still to be told to other instances, those told least often first.
+// Updates that are still to be told to other instances. Leaving marks come first, because they must
+// be known everywhere within 2 s, also when many instances start at once; then those sent least.
 
 #ifndef AZUREGW_SRC_MEMBERSHIP_UPDATE_QUEUE_H_
 #define AZUREGW_SRC_MEMBERSHIP_UPDATE_QUEUE_H_
@@ -6,12 +7,13 @@
 #include <algorithm>
 #include <cstddef>
 #include <string>
-#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace azuregw {
 
-enum class UpdateKind { kMember, kUpstream };
+// In order of precedence.
+enum class UpdateKind { kUpstream, kMember };
 
 struct QueuedUpdate {
   UpdateKind kind = UpdateKind::kMember;
@@ -38,8 +40,7 @@
   // Up to `count` updates for one heartbeat; counts them as sent and drops those sent `limit`
   // times.
   std::vector<QueuedUpdate> Take(size_t count, size_t limit) {
-    std::stable_sort(m_updates.begin(), m_updates.end(),
-                     [](const auto& a, const auto& b) { return a.sent < b.sent; });
+    Sort();
     const size_t taken = std::min(count, m_updates.size());
     const std::vector<QueuedUpdate> result(m_updates.begin(),
                                            m_updates.begin() + static_cast<std::ptrdiff_t>(taken));
@@ -57,6 +58,7 @@
 
   // Up to `count` updates for one forwarding round to `fanout` peers.
   std::vector<QueuedUpdate> TakeForwards(size_t count, size_t fanout) {
+    Sort();
     std::vector<QueuedUpdate> result;
     for (QueuedUpdate& update : m_updates) {
       if (update.forward_rounds > 0 && result.size() < count) {
@@ -69,6 +71,13 @@
   }
 
  private:
+  void Sort() {
+    std::stable_sort(m_updates.begin(), m_updates.end(),
+                     [](const QueuedUpdate& a, const QueuedUpdate& b) {
+                       return std::make_pair(a.kind, a.sent) < std::make_pair(b.kind, b.sent);
+                     });
+  }
+
   void DropSent(size_t limit) {
     m_updates.erase(std::remove_if(m_updates.begin(), m_updates.end(),
                                    [limit](const QueuedUpdate& update) {
--- a/tests/fakes/member_network.h
+++ b/tests/fakes/member_network.h
@@ -95,7 +95,7 @@
     bool stopped = false;
     bool paused = false;
     int group = 0;
-    std::vector<std::pair<std::string, wire::HeartbeatT>> inbox;  // Sender and message.
+    std::vector<std::pair<std::string, std::vector<uint8_t>>> inbox;  // Sender and payload.
   };
 
   void AddOne(int i, int domains, const std::function<void(MembershipOptions*)>& adjust) {
@@ -119,12 +119,15 @@
 
   void Post(const Node& from, HeartbeatSends sends) {
     for (HeartbeatSend& send : sends) {
+      wire::EnvelopeT envelope = MakeEnvelope(std::move(send.heartbeat));
+      envelope.hlc = static_cast<uint64_t>(m_wall_ms) << 16;
+      std::vector<uint8_t> payload = EncodeEnvelope(envelope);
       ++m_messages;
-      m_bytes += kFrameHeaderBytes + EncodeEnvelope(MakeEnvelope(send.heartbeat)).size();
+      m_bytes += kFrameHeaderBytes + payload.size();
       const size_t target = m_by_address.at(send.address);
       const Node& to = m_nodes[target];
       if (!to.stopped && to.group == from.group && m_random->Unit() >= m_loss) {
-        m_in_flight.emplace_back(target, std::make_pair(from.name, std::move(send.heartbeat)));
+        m_in_flight.emplace_back(target, std::make_pair(from.name, std::move(payload)));
       }
     }
   }
@@ -144,8 +147,10 @@
       }
       const auto inbox = std::move(node.inbox);
       node.inbox.clear();
-      for (const auto& [from, heartbeat] : inbox) {
-        Post(node, node.membership->OnHeartbeat(from, heartbeat, At()));
+      for (const auto& [from, payload] : inbox) {
+        wire::EnvelopeT envelope;
+        VerifyEnvelope(payload).value()->UnPackTo(&envelope);
+        Post(node, node.membership->OnHeartbeat(from, *envelope.body.AsHeartbeat(), At()));
       }
       Post(node, node.membership->Tick(At()));
     }
@@ -154,7 +159,7 @@
   std::unique_ptr<Random> m_random;
   std::vector<Node> m_nodes;
   std::map<std::string, size_t> m_by_address;
-  std::vector<std::pair<size_t, std::pair<std::string, wire::HeartbeatT>>> m_in_flight;
+  std::vector<std::pair<size_t, std::pair<std::string, std::vector<uint8_t>>>> m_in_flight;
   TimePoint m_now{Milliseconds(1000000)};
   int64_t m_wall_ms = 1700000000000;
   double m_loss = 0;
