--- a/src/serve/instance.cc
+++ b/src/serve/instance.cc
@@ -16,6 +16,7 @@
 #include "azuregw/logging/log.h"
 #include "azuregw/metrics/metrics.h"
 #include "azuregw/supervisor/supervisor.h"
+#include "serve/peer_links.h"
 #include "serve/status_json.h"
 #include "serve/traffic.h"
 
@@ -37,14 +38,12 @@
   return reply;
 }
 
-// Takes events and refusals until the timeline and the ledger are connected.
-class NullRecorder final : public EventRecorder, public RefusalRecorder {
+// Takes events until the timeline is connected.
+class NullRecorder final : public EventRecorder {
  public:
   void Record(std::string_view /*component*/, std::string_view /*event*/,
               std::string_view /*request_id*/, std::string_view /*detail*/,
               ResultCode /*code*/) override {}
-  void OnRefusal(const std::string& /*workspace*/, ResultCode /*reason*/,
-                 int64_t /*wall_ms*/) override {}
 };
 
 class RunningInstance final : public Instance {
@@ -63,13 +62,14 @@
     control.list = m_list.get();
     control.metrics = m_metrics.get();
     m_control = MakeControlLoop(MakeControlOptions(settings), control);
+    m_peers = std::make_unique<PeerLinks>(settings, m_control.get(), m_kv.get(), m_metrics.get());
     TrafficDependencies traffic;
     traffic.clock = &SystemClock();
     traffic.control = m_control.get();
     traffic.kv = m_kv.get();
     traffic.metrics = m_metrics.get();
     traffic.events = &m_recorder;
-    traffic.refusals = &m_recorder;
+    traffic.refusals = m_peers->refusals();
     m_traffic = MakeTraffic(settings, traffic);
   }
 
@@ -87,8 +87,11 @@
     if (!admin) {
       return admin.error();
     }
-    // The peer transport listens here, before members are told its address.
-    m_addresses.peer = m_settings.peer.address;
+    const Result<void> peers = m_peers->Start();
+    if (!peers) {
+      return peers.error();
+    }
+    m_addresses.peer = m_peers->Address();
     const Result<void> traffic = m_traffic->Start();
     if (!traffic) {
       return traffic.error();
@@ -122,6 +125,7 @@
     m_traffic->Stop();
     m_admin->Stop();
     m_control->Stop();
+    m_peers->Stop();
     m_supervisor->Stop();
     return unwritten;
   }
@@ -188,6 +192,7 @@
   std::unique_ptr<InstanceList> m_list;
   std::unique_ptr<Supervisor> m_supervisor;
   std::unique_ptr<ControlLoop> m_control;
+  std::unique_ptr<PeerLinks> m_peers;
   std::unique_ptr<Traffic> m_traffic;
   std::unique_ptr<AdminServer> m_admin;
   InstanceAddresses m_addresses;
