--- a/include/azuregw/admission/adaptive_limit.h
+++ b/include/azuregw/admission/adaptive_limit.h
@@ -26,7 +26,8 @@
       : m_options(options) {}
 
   // `capacity`: concurrent requests that the upstreams can run for all instances, the upper bound.
-  // `instances`: live instances; the first call starts the limit at an even share.
+  // `instances`: live instances. The first call starts the limit at an even share; later calls keep
+  // its ratio to the share.
   void SetCapacity(double capacity, int instances);
 
   // `inflight` counts the requests in progress, with this one.
--- a/include/azuregw/admission/fair_queue.h
+++ b/include/azuregw/admission/fair_queue.h
@@ -31,12 +31,24 @@
  public:
   static constexpr int kPriorities = 10;
 
+  // `credit`: requests that a workspace may be served ahead of its share after it used less than
+  // its share. Without credit, a small workspace whose requests arrive in pairs would be refused
+  // while it is below its share.
+  explicit FairQueue(double credit) : m_credit(credit) {}
+
   void Push(WaitingRequest request, double weight);
   // Takes the next request in fair order and charges its workspace. Null when empty.
   std::optional<WaitingRequest> Pop();
   // Charges a workspace for a request that did not have to wait.
   void Charge(const std::string& flow_name, double weight);
 
+  // Whether the workspace has used less than its share lately, by one request at least.
+  bool BelowShare(const std::string& flow_name, double weight) const;
+  // The same for the workspace whose request Pop would take; false when empty.
+  bool NextIsBelowShare() const;
+  // Workspaces that were served or waited lately.
+  size_t FlowCount() const { return m_flows.size(); }
+
   // Requests that would be served before a new one of this workspace and priority.
   size_t Ahead(const std::string& flow_name, double weight, int priority) const;
 
@@ -62,12 +74,15 @@
   };
 
   double StartOf(const Flow& flow) const;
+  double Credit(const Flow& flow) const { return m_credit / flow.weight; }
+  const Flow* Next() const;
   void ChargeFlow(Flow* flow);
   WaitingRequest TakeFirst(Flow* flow);
   WaitingRequest TakeLast(Flow* flow);
 
+  const double m_credit;
   std::map<std::string, Flow> m_flows;
-  double m_virtual_time = 0;  // Start of the request that was served last; never decreases.
+  double m_virtual_time = 0;  // Largest start of a served request.
   size_t m_size = 0;          // Sum of `waiting`.
 };
 
--- a/src/admission/adaptive_limit.cc
+++ b/src/admission/adaptive_limit.cc
@@ -8,18 +8,20 @@
 namespace azuregw {
 namespace {
 
-constexpr double kInUse = 0.8;              // Share of the limit in use that justifies growth.
+// Share of the limit in use that justifies growth; below 1 - AdmissionOptions::reserve, because one
+// workspace alone cannot use more.
+constexpr double kInUse = 0.7;
 constexpr double kBaselineSmoothing = 0.3;  // Towards lower latencies.
 constexpr double kBaselineGrowth = 1.002;   // Per window; lets the baseline follow slower engines.
 
 }  // namespace
 
 void AdaptiveLimit::SetCapacity(double capacity, int instances) {
+  const double old_share = m_share;
   m_bound = std::max(1.0, capacity);
   m_share = std::max(1.0, m_bound / std::max(1, instances));
-  if (m_limit == 0) {
-    m_limit = m_share;
-  }
+  // When instances or upstreams come or go, the limit moves at once in proportion.
+  m_limit = m_limit == 0 ? m_share : m_limit * m_share / old_share;
   m_limit = std::clamp(m_limit, 1.0, m_bound);
 }
 
--- a/src/admission/admission_core.cc
+++ b/src/admission/admission_core.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr double kSmoothing = 0.1;
+constexpr double kFadeMs = 500;  // Half-life of the first-result estimate without results.
 constexpr double kMinHintMs = 10;
 constexpr double kMaxHintMs = 60000;
 // A workspace may exceed its even share of max_inflight by this factor, because the load balancer
@@ -44,7 +45,9 @@
         m_admitted(admitted) {}
   ~Ticket() override { m_core->Release(m_target, m_workspace, m_admitted); }
 
-  void OnFirstResult(Milliseconds latency) override { m_core->OnFirstResult(m_target, latency); }
+  void OnFirstResult(Milliseconds latency) override {
+    m_core->OnFirstResult(m_target, m_admitted, latency);
+  }
   void OnOverload() override { m_core->OnOverload(m_target); }
 
  private:
@@ -74,19 +77,23 @@
         m_options.fair_queueing ? std::min(request.priority, workspace.priority) : 5;
     WaitingRequest waiting{request.workspace, flow, priority, request.deadline, std::move(done)};
     const size_t ahead = target.queue.Ahead(flow, weight, priority);
-    const bool free = target.inflight < target.limit.Limit();
-    const double wait_ms = free && target.queue.empty() ? 0 : WaitMs(target, ahead);
+    const bool below_share = target.queue.BelowShare(flow, weight);
+    const bool free = target.inflight < Places(target, below_share);
+    const bool start = free && ahead == 0;
+    const double wait_ms = start ? 0 : WaitMs(target, ahead);
     target.retries.OnFirstAttempt(now);
     if (workspace.accepted >= workspace.max_inflight) {
       Error error = NotRun(ResultCode::kWorkspaceLimit,
                            "workspace " + request.workspace + " has its limit of " +
                                std::to_string(workspace.max_inflight) +
                                " requests in progress at this instance");
-      error.retry_after = Hint(target.hold_ms / std::max(1, workspace.accepted));
+      error.retry_after =
+          Hint(target, request.workspace, target.hold_ms / std::max(1, workspace.accepted), now);
       Refuse(std::move(waiting), std::move(error), &actions);
     } else if (!CanMeet(target, wait_ms, request.deadline, now)) {
-      Refuse(std::move(waiting), TooLate(target, wait_ms, request.deadline, now), &actions);
-    } else if (free && target.queue.empty()) {
+      Refuse(std::move(waiting), TooLate(target, request.workspace, wait_ms, request.deadline, now),
+             &actions);
+    } else if (start) {
       ++workspace.accepted;
       target.queue.Charge(flow, weight);
       Start(request.target, &target, std::move(waiting), now, &actions);
@@ -102,7 +109,9 @@
   if (target->queue.size() >= m_options.max_waiting) {
     const auto refuse = [&](WaitingRequest refused) {
       Error error = NotRun(ResultCode::kOverloaded, "too many requests are waiting");
-      error.retry_after = Hint(wait_ms + target->first_ms - MillisecondsOf(refused.deadline - now));
+      const double left_ms = MillisecondsOf(refused.deadline - now);
+      error.retry_after =
+          Hint(*target, refused.workspace, wait_ms + target->LateFirstMs(now) - left_ms, now);
       Refuse(std::move(refused), std::move(error), actions);
     };
     std::optional<WaitingRequest> victim = target->queue.EvictFor(request.flow, weight);
@@ -131,7 +140,8 @@
             });
         for (WaitingRequest& request : expired) {
           --m_workspaces[request.workspace].accepted;
-          Error error = TooLate(target, WaitMs(target, target.queue.size()), request.deadline, now);
+          Error error = TooLate(target, request.workspace, WaitMs(target, target.queue.size()),
+                                request.deadline, now);
           Refuse(std::move(request), std::move(error), &actions);
         }
       }
@@ -162,12 +172,20 @@
   return FindTarget(target).retries.Take(percent, now);
 }
 
-void AdmissionCore::OnFirstResult(const std::string& name, Milliseconds latency) {
+void AdmissionCore::OnFirstResult(const std::string& name, TimePoint admitted,
+                                  Milliseconds latency) {
+  const TimePoint now = m_clock.Now();
+  // Time spent waiting for admission must not count: it would lower the limit, which lengthens the
+  // wait.
+  latency = std::min(latency, std::chrono::duration_cast<Milliseconds>(now - admitted));
   const std::lock_guard<std::mutex> lock(m_mutex);
   Target& target = FindTarget(name);
-  Average(static_cast<double>(latency.count()), &target.first_ms);
+  const auto ms = static_cast<double>(latency.count());
+  target.deviation_ms += kSmoothing * (std::abs(ms - target.first_ms) - target.deviation_ms);
+  Average(ms, &target.first_ms);
+  target.last_result = now;
   if (m_options.adapt_limit) {
-    target.limit.OnResult(latency, target.inflight, m_clock.Now());
+    target.limit.OnResult(latency, target.inflight, now);
   }
 }
 
@@ -238,7 +256,7 @@
 }
 
 AdmissionCore::Target& AdmissionCore::FindTarget(const std::string& name) {
-  const auto [entry, added] = m_targets.try_emplace(name, m_options.limit);
+  const auto [entry, added] = m_targets.try_emplace(name, m_options);
   if (added) {
     SetCapacity(name, &entry->second);
   }
@@ -264,22 +282,37 @@
 
 void AdmissionCore::StartWaiting(const std::string& name, Target* target, TimePoint now,
                                  Actions* actions) {
-  while (target->inflight < target->limit.Limit() && !target->queue.empty()) {
+  while (!target->queue.empty() &&
+         target->inflight < Places(*target, target->queue.NextIsBelowShare())) {
     WaitingRequest request = *target->queue.Pop();
     if (CanMeet(*target, 0, request.deadline, now)) {
       Start(name, target, std::move(request), now, actions);
     } else {
       --m_workspaces[request.workspace].accepted;
-      Error error = TooLate(*target, WaitMs(*target, target->queue.size()), request.deadline, now);
+      Error error = TooLate(*target, request.workspace, WaitMs(*target, target->queue.size()),
+                            request.deadline, now);
       Refuse(std::move(request), std::move(error), actions);
     }
   }
 }
 
+int AdmissionCore::Places(const Target& target, bool below_share) const {
+  const int limit = target.limit.Limit();
+  if (below_share || target.queue.FlowCount() < 2) {
+    return limit;
+  }
+  return std::max(1, limit - static_cast<int>(std::lround(m_options.reserve * limit)));
+}
+
 void AdmissionCore::Refuse(WaitingRequest request, Error error, Actions* actions) {
   actions->push_back([done = std::move(request.done), error = std::move(error)]() { done(error); });
 }
 
+double AdmissionCore::Target::LateFirstMs(TimePoint now) const {
+  const double age_ms = std::max(0.0, MillisecondsOf(now - last_result));
+  return (first_ms + 2 * deviation_ms) * std::exp2(-age_ms / kFadeMs);
+}
+
 double AdmissionCore::WaitMs(const Target& target, size_t ahead) const {
   // Places become free at the rate limit / hold time.
   return static_cast<double>(ahead + 1) * target.hold_ms / target.limit.Limit();
@@ -291,25 +324,34 @@
   if (left_ms <= 0) {
     return false;
   }
-  // One request at a time is always let through: without results, a latency that was once too high
-  // would never be measured again.
-  if (!m_options.check_deadlines || target.inflight == 0) {
-    return true;
-  }
-  return wait_ms + target.first_ms <= left_ms;
+  return !m_options.check_deadlines || wait_ms + target.LateFirstMs(now) <= left_ms;
 }
 
-Error AdmissionCore::TooLate(const Target& target, double wait_ms, TimePoint deadline,
-                             TimePoint now) const {
+Error AdmissionCore::TooLate(const Target& target, const std::string& workspace, double wait_ms,
+                             TimePoint deadline, TimePoint now) {
   const double left_ms = MillisecondsOf(deadline - now);
   Error error =
       NotRun(ResultCode::kDeadlineUnreachable, "the deadline would pass before the first result");
-  error.retry_after = Hint(wait_ms + target.first_ms - left_ms);
+  error.retry_after = Hint(target, workspace, wait_ms + target.LateFirstMs(now) - left_ms, now);
   return error;
 }
 
-Milliseconds AdmissionCore::Hint(double ms) {
-  return Milliseconds(static_cast<int64_t>(std::ceil(std::clamp(ms, kMinHintMs, kMaxHintMs))));
+Milliseconds AdmissionCore::Hint(const Target& target, const std::string& workspace, double ms,
+                                 TimePoint now) {
+  double hint_ms = std::clamp(ms, kMinHintMs, kMaxHintMs);
+  if (m_options.spread_hints) {
+    Workspace& entry = m_workspaces[workspace];
+    double active_weight = entry.weight;
+    for (const auto& [name, other] : m_workspaces) {
+      active_weight += other.accepted > 0 && &other != &entry ? other.weight : 0;
+    }
+    const double interval_ms = target.hold_ms / target.limit.Limit() * active_weight / entry.weight;
+    hint_ms = std::max(hint_ms, MillisecondsOf(entry.promised - now) + interval_ms);
+    hint_ms = std::min(hint_ms, kMaxHintMs);
+    entry.promised = now + std::chrono::duration_cast<TimePoint::duration>(
+                               std::chrono::duration<double, std::milli>(hint_ms));
+  }
+  return Milliseconds(static_cast<int64_t>(std::ceil(hint_ms)));
 }
 
 void AdmissionCore::Run(Actions actions) {
--- a/src/admission/admission_core.h
+++ b/src/admission/admission_core.h
@@ -33,26 +33,35 @@
   bool TakeRetry(const std::string& target, TimePoint now);
 
   // From tickets.
-  void OnFirstResult(const std::string& target, Milliseconds latency);
+  void OnFirstResult(const std::string& target, TimePoint admitted, Milliseconds latency);
   void OnOverload(const std::string& target);
   void Release(const std::string& target, const std::string& workspace, TimePoint admitted);
 
  private:
   struct Target {
-    explicit Target(const AdaptiveLimitOptions& options) : limit(options) {}
+    explicit Target(const AdmissionOptions& options)
+        : limit(options.limit), queue(options.fair_credit) {}
 
     AdaptiveLimit limit;
     FairQueue queue;
     RetryBudget retries;
-    int inflight = 0;     // Admitted and not yet released.
-    double hold_ms = 0;   // Moving average from admission to release; 0 when unknown.
-    double first_ms = 0;  // Moving average of the first result; 0 when unknown.
+    int inflight = 0;         // Admitted and not yet released.
+    double hold_ms = 0;       // Moving average from admission to release; 0 when unknown.
+    double first_ms = 0;      // Moving average of the first result; 0 when unknown.
+    double deviation_ms = 0;  // Moving average of its distance from first_ms.
+
+    TimePoint last_result;
+
+    // First-result time that few requests exceed. It fades while no results arrive: otherwise a
+    // latency that was once too high would refuse every request, and never be measured again.
+    double LateFirstMs(TimePoint now) const;
   };
   struct Workspace {
     int max_inflight = 0;  // Of this instance.
     int accepted = 0;      // Admitted or waiting.
     double weight = 1;
     int priority = 5;
+    TimePoint promised;  // Until then, refused callers were told to come back one by one.
   };
   using Actions = std::vector<std::function<void()>>;
 
@@ -66,14 +75,20 @@
   void Start(const std::string& name, Target* target, WaitingRequest request, TimePoint now,
              Actions* actions);
   void StartWaiting(const std::string& name, Target* target, TimePoint now, Actions* actions);
+  // Requests that may be in progress when the next one belongs to a workspace below its share, or
+  // not.
+  int Places(const Target& target, bool below_share) const;
   static void Refuse(WaitingRequest request, Error error, Actions* actions);
   // Expected time until a request with `ahead` others before it gets a place.
   double WaitMs(const Target& target, size_t ahead) const;
   bool CanMeet(const Target& target, double wait_ms, TimePoint deadline, TimePoint now) const;
   // The hint is the time until the queue has shrunk so far that a repeat with the same time to its
   // deadline would be admitted, if no other request arrived.
-  Error TooLate(const Target& target, double wait_ms, TimePoint deadline, TimePoint now) const;
-  static Milliseconds Hint(double ms);
+  Error TooLate(const Target& target, const std::string& workspace, double wait_ms,
+                TimePoint deadline, TimePoint now);
+  // Time to wait before a repeat, `ms` at least. Callers of one workspace that are refused in a row
+  // are spread out by its share of the service rate, so that they do not all return at once.
+  Milliseconds Hint(const Target& target, const std::string& workspace, double ms, TimePoint now);
   static void Run(Actions actions);
 
   const Clock& m_clock;
--- a/src/admission/fair_queue.cc
+++ b/src/admission/fair_queue.cc
@@ -19,12 +19,7 @@
 }
 
 std::optional<WaitingRequest> FairQueue::Pop() {
-  Flow* next = nullptr;
-  for (auto& [name, flow] : m_flows) {
-    if (flow.waiting > 0 && (next == nullptr || StartOf(flow) < StartOf(*next))) {
-      next = &flow;
-    }
-  }
+  auto* next = const_cast<Flow*>(Next());
   if (next == nullptr) {
     return std::nullopt;
   }
@@ -32,6 +27,26 @@
   return TakeFirst(next);
 }
 
+const FairQueue::Flow* FairQueue::Next() const {
+  const Flow* next = nullptr;
+  for (const auto& [name, flow] : m_flows) {
+    if (flow.waiting > 0 && (next == nullptr || StartOf(flow) < StartOf(*next))) {
+      next = &flow;
+    }
+  }
+  return next;
+}
+
+bool FairQueue::BelowShare(const std::string& flow_name, double weight) const {
+  const auto found = m_flows.find(flow_name);
+  return found == m_flows.end() || StartOf(found->second) + 1.0 / weight <= m_virtual_time;
+}
+
+bool FairQueue::NextIsBelowShare() const {
+  const Flow* next = Next();
+  return next != nullptr && StartOf(*next) + 1.0 / next->weight <= m_virtual_time;
+}
+
 void FairQueue::Charge(const std::string& name, double weight) {
   Flow& flow = m_flows[name];
   flow.weight = weight;
@@ -40,7 +55,7 @@
 
 size_t FairQueue::Ahead(const std::string& flow_name, double weight, int priority) const {
   size_t own = 0;
-  double start = m_virtual_time;
+  double start = m_virtual_time - m_credit / weight;
   const auto found = m_flows.find(flow_name);
   if (found != m_flows.end()) {
     start = StartOf(found->second);
@@ -101,18 +116,18 @@
 void FairQueue::Compact() {
   for (auto entry = m_flows.begin(); entry != m_flows.end();) {
     const Flow& flow = entry->second;
-    const bool idle = flow.waiting == 0 && flow.next_start <= m_virtual_time;
+    const bool idle = flow.waiting == 0 && flow.next_start <= m_virtual_time - Credit(flow);
     entry = idle ? m_flows.erase(entry) : std::next(entry);
   }
 }
 
 double FairQueue::StartOf(const Flow& flow) const {
-  return std::max(flow.next_start, m_virtual_time);
+  return std::max(flow.next_start, m_virtual_time - Credit(flow));
 }
 
 void FairQueue::ChargeFlow(Flow* flow) {
   const double start = StartOf(*flow);
-  m_virtual_time = start;
+  m_virtual_time = std::max(m_virtual_time, start);
   flow->next_start = start + 1.0 / flow->weight;
 }
 
