--- a/tests/gateway/caller_server_test.cc
+++ b/tests/gateway/caller_server_test.cc
@@ -43,16 +43,16 @@
                   const std::string& workspace) {
   BOOST_TEST_CONTEXT("code " << static_cast<int>(code)) {
     BOOST_TEST(result.status == HttpStatus(code), result.body << result.error);
-    const json body = json::parse(result.body, nullptr, false);
-    BOOST_REQUIRE(body.is_object());
-    const json error = body.value("error", json::object());
+    json error = json::parse(result.body, nullptr, false);
+    error = error.is_object() ? error.value("error", json::object()) : json::object();
     BOOST_TEST(error.value("code", 0) == static_cast<int>(code));
     BOOST_TEST(error.value("name", "") == std::string(ResultCodeName(code)));
     BOOST_TEST(error.value("outcome", "") == "not_run");
-    BOOST_TEST(result.headers.count("x-request-id") == 1u);
-    BOOST_TEST(error.value("request_id", "") == result.headers.at("x-request-id"));
-    const auto refusals = fixture->refusals.Take();
-    BOOST_REQUIRE(refusals.size() == 1u);
+    const auto id = result.headers.find("x-request-id");
+    BOOST_TEST((id != result.headers.end() && error.value("request_id", "") == id->second));
+    auto refusals = fixture->refusals.Take();
+    BOOST_TEST(refusals.size() == 1u);
+    refusals.resize(1);
     BOOST_TEST(refusals[0].first == workspace);
     BOOST_TEST(static_cast<int>(refusals[0].second) == static_cast<int>(code));
   }
@@ -136,7 +136,8 @@
   CheckRefusal(this, SendRequest("POST", address, "/v1/services/none/x", "{}", Auth()),
                ResultCode::kUnknownService, "ws");
   BOOST_TEST(runner.Sink() == nullptr);
-  BOOST_TEST(server->InProgress() == 0);
+  // A caller may read its answer before the server has noted that it was sent.
+  BOOST_TEST(Eventually([this] { return server->InProgress() == 0; }));
 }
 
 // Guards against an unbounded body without a length, and against broken requests that end the
@@ -219,7 +220,7 @@
     return runner.generation->Gone().has_value();
   }));
   BOOST_TEST((runner.generation->Gone() == ResultCode::kCallerTooSlow));
-  BOOST_TEST(server->InProgress() == 0);
+  BOOST_TEST(Eventually([this] { return server->InProgress() == 0; }));
   stop = true;
   caller.join();
 }
--- a/tests/support/http_client.cc
+++ b/tests/support/http_client.cc
@@ -6,6 +6,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cstdint>
+#include <limits>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -245,7 +247,7 @@
     code = connection.Write(&request);
   }
   http::response_parser<http::string_body> parser;
-  parser.body_limit(boost::none);
+  parser.body_limit((std::numeric_limits<uint64_t>::max)());
   parser.skip(method == "HEAD");
   if (!code) {
     code = connection.ReadAll(&parser);
@@ -273,7 +275,7 @@
     code = connection.Write(&request);
   }
   http::response_parser<http::buffer_body> parser;
-  parser.body_limit(boost::none);
+  parser.body_limit((std::numeric_limits<uint64_t>::max)());
   if (!code) {
     code = connection.ReadHeader(&parser);
   }
