End open requests when the callers' server stops

cpprestsdk waits for every answer when it closes a listener: Stop hung for the 20 s of stop_ends_while_a_stream_is_open while a stream was open. Streams are now broken off and other requests are refused with kDraining, outcome unknown.

--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <thread>
 #include <utility>
 
 #include "gateway/body_reader.h"
@@ -23,6 +24,8 @@
 
 constexpr int kPortAttempts = 20;
 constexpr Milliseconds kDrainRetryAfter{1000};
+// Requests that arrive while the listener closes are aborted this often.
+constexpr Milliseconds kAbortInterval{10};
 const char kServicesPrefix[] = "/v1/services/";
 
 enum class Route { kChat, kText, kModels, kService, kHealth, kReady, kNone };
@@ -127,8 +130,16 @@
     if (m_listener == nullptr) {
       return;
     }
+    // cpprestsdk waits for the answers to all requests when it closes a listener.
+    BeginDrain();
+    AbortOpen();
+    pplx::task<void> closing = m_listener->close();
+    while (!closing.is_done()) {
+      AbortOpen();
+      std::this_thread::sleep_for(kAbortInterval);
+    }
     try {
-      m_listener->close().get();
+      closing.get();
     } catch (const std::exception&) {
       // The listener is closed already.
     }
@@ -136,10 +147,18 @@
   }
 
  private:
+  void AbortOpen() {
+    for (const std::shared_ptr<Exchange>& exchange : m_context->open.All()) {
+      exchange->Abort();
+    }
+  }
+
   void Open(const std::string& address) {
     auto listener = std::make_unique<http_listener>("http://" + address);
     listener->support([context = m_context](const http::http_request& message) {
-      OnRequest(std::make_shared<Exchange>(context, message));
+      const auto exchange = std::make_shared<Exchange>(context, message);
+      context->open.Add(exchange);
+      OnRequest(exchange);
     });
     listener->open().get();
     m_listener = std::move(listener);
--- a/src/gateway/event_stream.cc
+++ b/src/gateway/event_stream.cc
@@ -29,6 +29,11 @@
     : m_exchange(std::move(exchange)), m_on_gone(std::move(on_gone)) {}
 
 void EventStream::Open() {
+  m_exchange->SetStreamAbort([weak = weak_from_this()] {
+    if (const auto stream = weak.lock()) {
+      stream->OnGone(ResultCode::kDraining);
+    }
+  });
   m_exchange->AnswerStream(m_buffer.create_istream(), [self = shared_from_this()](bool sent) {
     if (!sent) {
       self->OnGone(ResultCode::kCallerGone);
--- a/src/gateway/event_stream.h
+++ b/src/gateway/event_stream.h
@@ -19,7 +19,7 @@
 class EventStream : public std::enable_shared_from_this<EventStream> {
  public:
   // `on_gone` is called at most once, on a library thread or from Write, when the caller has closed
-  // the connection (kCallerGone) or does not read (kCallerTooSlow).
+  // the connection (kCallerGone), does not read (kCallerTooSlow) or the server stops (kDraining).
   EventStream(std::shared_ptr<Exchange> exchange, std::function<void(ResultCode)> on_gone);
 
   // Sends the head of the answer.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -39,7 +39,49 @@
   m_request_id = IsValidRequestId(given) ? given : MakeUniqueId();
 }
 
-Exchange::~Exchange() { EndProgress(); }
+Exchange::~Exchange() {
+  EndProgress();
+  m_context->open.Remove(this);
+}
+
+void OpenExchanges::Add(const std::shared_ptr<Exchange>& exchange) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_exchanges.emplace(exchange.get(), exchange);
+}
+
+void OpenExchanges::Remove(const Exchange* exchange) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_exchanges.erase(exchange);
+}
+
+std::vector<std::shared_ptr<Exchange>> OpenExchanges::All() const {
+  std::vector<std::shared_ptr<Exchange>> all;
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  for (const auto& [key, weak] : m_exchanges) {
+    if (auto exchange = weak.lock()) {
+      all.push_back(std::move(exchange));
+    }
+  }
+  return all;
+}
+
+void Exchange::SetStreamAbort(std::function<void()> abort) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_stream_abort = std::move(abort);
+}
+
+void Exchange::Abort() {
+  std::function<void()> abort;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    abort = m_stream_abort;
+  }
+  if (abort) {
+    abort();
+  } else {
+    Refuse(Unknown(ResultCode::kDraining, "the instance stopped before the answer was complete"));
+  }
+}
 
 std::string Exchange::Header(const std::string& name) const {
   const auto found = m_message.headers().find(name);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -8,7 +8,10 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 #include "azuregw/engine/timer_queue.h"
 #include "azuregw/gateway/caller_server.h"
@@ -16,12 +19,27 @@
 
 namespace azuregw {
 
+class Exchange;
+
+// The requests whose answers have not been sent. Thread-safe.
+class OpenExchanges {
+ public:
+  void Add(const std::shared_ptr<Exchange>& exchange);
+  void Remove(const Exchange* exchange);
+  std::vector<std::shared_ptr<Exchange>> All() const;
+
+ private:
+  mutable std::mutex m_mutex;
+  std::unordered_map<const Exchange*, std::weak_ptr<Exchange>> m_exchanges;
+};
+
 // What all requests of one server share.
 struct GatewayContext {
   GatewayDependencies dependencies;
   CallerServerOptions options;
   std::unique_ptr<TimerQueue> timers;
   std::unique_ptr<ProgressCounter> progress;
+  OpenExchanges open;
   std::atomic<bool> draining{false};
 };
 
@@ -44,6 +62,10 @@
   // Counts and records a refusal whose answer has already begun.
   void ReportRefusal(const Error& error);
   void CountOutcome(const std::string& outcome);
+  // Ends the request because the server stops: a stream is broken off, other work is refused.
+  void Abort();
+  // `abort` breaks off the stream that answers this request.
+  void SetStreamAbort(std::function<void()> abort);
   // The request is no longer in progress, for example because its caller is gone. Idempotent.
   void EndProgress();
 
@@ -69,6 +91,8 @@
   std::string m_request_id;
   std::atomic<bool> m_answered{false};
   std::atomic<bool> m_in_progress{true};
+  std::mutex m_mutex;
+  std::function<void()> m_stream_abort;  // Guarded by m_mutex; empty when no stream answers.
 };
 
 }  // namespace azuregw
--- a/tests/gateway/caller_server_test.cc
+++ b/tests/gateway/caller_server_test.cc
@@ -247,6 +247,29 @@
   BOOST_TEST(result.done);
 }
 
+// Guards against a process that cannot exit because a stream has not ended by the drain limit.
+BOOST_AUTO_TEST_CASE(stop_ends_while_a_stream_is_open) {
+  StreamResult result;
+  std::thread caller(
+      [&] { result = StreamCompletion(server->Address(), kChatPath, kStreamBody, Auth()); });
+  BOOST_REQUIRE(Eventually([this] { return runner.Sink() != nullptr; }));
+  runner.Sink()->OnToken(0, "one ", false);
+  std::atomic<bool> stopped{false};
+  std::thread stopper([&] {
+    server->Stop();
+    stopped = true;
+  });
+  const bool ended = Eventually([&] { return stopped.load(); });
+  BOOST_TEST(ended);
+  if (!ended) {
+    runner.Sink()->OnFinish(Finish());
+  }
+  stopper.join();
+  caller.join();
+  BOOST_TEST(!result.done);
+  BOOST_TEST((runner.generation->Gone() == ResultCode::kDraining));
+}
+
 // Guards against calls on services that lose their key, query or answer.
 BOOST_AUTO_TEST_CASE(service_calls) {
   orders.answer = ServiceAnswer{{201, "application/json", R"({"ok":true})"}, false};
