Supervise the control thread and the platform workers

They were plain threads, so that an exception in one of them ended the process. They are now components of the root supervisor; a test lets a task throw on the control thread and sees the next preset applied.

--- a/include/azuregw/control/control_loop.h
+++ b/include/azuregw/control/control_loop.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "azuregw/base/clock.h"
 #include "azuregw/base/result.h"
@@ -18,6 +19,7 @@
 #include "azuregw/discovery/instance_list.h"
 #include "azuregw/kv/key_value_store.h"
 #include "azuregw/metrics/metrics.h"
+#include "azuregw/supervisor/supervisor.h"
 #include "azuregw/timeline/event_recorder.h"
 
 namespace azuregw {
@@ -56,6 +58,9 @@
   // Before Start.
   virtual void AddPauseListener(std::function<void()> listener) = 0;
 
+  // The threads of the loop, in the order of their start; owned by the loop. A supervisor starts
+  // and stops them, or Start and Stop do.
+  virtual std::vector<Component*> Components() = 0;
   virtual void Start() = 0;
   // Waits for the workers, at most for the call timeout and the watch's wait.
   virtual void Stop() = 0;
--- a/include/azuregw/supervisor/thread_component.h
+++ b/include/azuregw/supervisor/thread_component.h
@@ -29,9 +29,11 @@
 };
 
 // `body` runs on the thread until `stop` is raised. An error that it returns, an exception, or its
-// end without a stop counts as a failure.
+// end without a stop counts as a failure. `on_stop` (may be empty) runs after `stop` was raised, to
+// wake a body that waits for something else.
 std::unique_ptr<Component> MakeThreadComponent(
-    std::string name, std::function<Result<void>(const StopSignal& stop)> body);
+    std::string name, std::function<Result<void>(const StopSignal& stop)> body,
+    std::function<void()> on_stop = {});
 
 }  // namespace azuregw
 
--- a/src/control/control_loop.cc
+++ b/src/control/control_loop.cc
@@ -3,13 +3,14 @@
 #include "azuregw/control/control_loop.h"
 
 #include <atomic>
+#include <cassert>
 #include <condition_variable>
 #include <mutex>
-#include <thread>
 #include <utility>
 #include <vector>
 
 #include "azuregw/logging/log.h"
+#include "azuregw/supervisor/thread_component.h"
 #include "control/control_state.h"
 #include "control/platform_workers.h"
 #include "metrics/process_usage.h"
@@ -34,6 +35,9 @@
     self.failure_domain = options.failure_domain;
     m_own_peers = MakeListPeerGroup(std::move(self));
     m_peers = m_own_peers.get();
+    m_last_tick = Now();
+    m_thread = MakeThreadComponent(
+        "control", [this](const StopSignal& stop) { return Run(stop); }, [this] { Wake(); });
     Publish();
   }
 
@@ -45,22 +49,23 @@
     m_pause_listeners.push_back(std::move(listener));
   }
 
+  std::vector<Component*> Components() override {
+    return {m_thread.get(), m_workers.Watch(), m_workers.Read()};
+  }
+
   void Start() override {
-    m_last_tick = m_dependencies.clock->Now();
-    m_thread = std::thread([this] { Run(); });
-    m_workers.Start();
+    for (Component* component : Components()) {
+      const Result<void> started = component->Start([](const Error& error) {
+        LogEvent(LogLevel::kError, kComponent, "component_failed", "", error.code, error.message);
+      });
+      assert(started);
+    }
   }
 
   void Stop() override {
-    m_workers.Stop();
-    {
-      const std::lock_guard<std::mutex> lock(m_mutex);
-      m_stopped = true;
-    }
-    m_wake.notify_all();
-    if (m_thread.joinable()) {
-      m_thread.join();
-    }
+    m_workers.Read()->Stop();
+    m_workers.Watch()->Stop();
+    m_thread->Stop();
   }
 
   void Post(std::function<void()> task) override {
@@ -132,6 +137,12 @@
   Readiness CurrentReadiness() const override { return *std::atomic_load(&m_readiness); }
 
  private:
+  void Wake() {
+    // The lock orders the raised signal before the thread's next look at it.
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_wake.notify_all();
+  }
+
   TimePoint Now() const { return m_dependencies.clock->Now(); }
 
   PlatformReports MakeReports() {
@@ -156,18 +167,18 @@
     return reports;
   }
 
-  void Run() {
+  Result<void> Run(const StopSignal& stop) {
     TimePoint next_tick = Now();
     std::vector<std::function<void()>> tasks;
     while (true) {
       {
         std::unique_lock<std::mutex> lock(m_mutex);
-        m_wake.wait_for(lock, next_tick - Now(), [this] { return m_stopped || !m_tasks.empty(); });
-        if (m_stopped) {
-          return;
-        }
+        m_wake.wait_for(lock, next_tick - Now(), [&] { return stop.Raised() || !m_tasks.empty(); });
         tasks.swap(m_tasks);
       }
+      if (stop.Raised()) {
+        return boost::outcome_v2::success();
+      }
       // Pauses are noticed before anything that was queued across them is acted on.
       const TimePoint now = Now();
       CheckPause(now);
@@ -312,10 +323,9 @@
   std::mutex m_mutex;
   std::condition_variable m_wake;
   std::vector<std::function<void()>> m_tasks;
-  bool m_stopped = false;
 
   PlatformWorkers m_workers;
-  std::thread m_thread;
+  std::unique_ptr<Component> m_thread;
 };
 
 }  // namespace
--- a/src/control/platform_workers.cc
+++ b/src/control/platform_workers.cc
@@ -15,27 +15,19 @@
 
 PlatformWorkers::PlatformWorkers(const ControlOptions& options,
                                  const ControlDependencies& dependencies, PlatformReports reports)
-    : m_options(options), m_dependencies(dependencies), m_reports(std::move(reports)) {}
-
-PlatformWorkers::~PlatformWorkers() { Stop(); }
-
-void PlatformWorkers::Start() {
-  m_watch_thread = std::thread([this] { RunWatch(); });
-  m_read_thread = std::thread([this] { RunRead(); });
+    : m_options(options), m_dependencies(dependencies), m_reports(std::move(reports)) {
+  m_watch = MakeThreadComponent(
+      "preset watch", [this](const StopSignal& stop) { return RunWatch(stop); },
+      [this] { WakeAll(); });
+  m_read = MakeThreadComponent(
+      "platform reads", [this](const StopSignal& stop) { return RunRead(stop); },
+      [this] { WakeAll(); });
 }
 
-void PlatformWorkers::Stop() {
-  {
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    m_stopped = true;
-  }
+void PlatformWorkers::WakeAll() {
+  // The lock orders the raised signal before the waiters' next look at it.
+  const std::lock_guard<std::mutex> lock(m_mutex);
   m_changed.notify_all();
-  if (m_watch_thread.joinable()) {
-    m_watch_thread.join();
-  }
-  if (m_read_thread.joinable()) {
-    m_read_thread.join();
-  }
 }
 
 void PlatformWorkers::SetWatching(bool watching) {
@@ -56,29 +48,30 @@
   m_changed.notify_all();
 }
 
-bool PlatformWorkers::Pause(TimePoint deadline, const std::function<bool()>& wake) {
+bool PlatformWorkers::Pause(const StopSignal& stop, TimePoint deadline,
+                            const std::function<bool()>& wake) {
   std::unique_lock<std::mutex> lock(m_mutex);
-  m_changed.wait_until(lock, deadline, [&] { return m_stopped || wake(); });
-  return !m_stopped;
+  m_changed.wait_until(lock, deadline, [&] { return stop.Raised() || wake(); });
+  return !stop.Raised();
 }
 
-void PlatformWorkers::RunWatch() {
+Result<void> PlatformWorkers::RunWatch(const StopSignal& stop) {
   Backoff backoff;
   uint64_t after = 0;
   while (true) {
     {
       std::unique_lock<std::mutex> lock(m_mutex);
-      m_changed.wait(lock, [this] { return m_stopped || m_watching; });
-      if (m_stopped) {
-        return;
-      }
+      m_changed.wait(lock, [&] { return stop.Raised() || m_watching; });
+    }
+    if (stop.Raised()) {
+      return boost::outcome_v2::success();
     }
     if (WatchOnce(&after)) {
       backoff.Reset();
       continue;
     }
-    if (!Pause(SystemClock().Now() + backoff.Next(), [] { return false; })) {
-      return;
+    if (!Pause(stop, SystemClock().Now() + backoff.Next(), [] { return false; })) {
+      return boost::outcome_v2::success();
     }
   }
 }
@@ -107,7 +100,7 @@
   return true;
 }
 
-void PlatformWorkers::RunRead() {
+Result<void> PlatformWorkers::RunRead(const StopSignal& stop) {
   Backoff backoff;
   uint64_t done_refresh = 0;
   TimePoint next_list = SystemClock().Now();
@@ -117,9 +110,6 @@
     bool need_preset = false;
     {
       const std::lock_guard<std::mutex> lock(m_mutex);
-      if (m_stopped) {
-        return;
-      }
       refresh = m_refresh;
       need_preset = !m_preset_known && !m_watching;
     }
@@ -137,11 +127,12 @@
     }
     done_refresh = refresh;
     const TimePoint wake_at = need_preset ? std::min(next_list, next_preset) : next_list;
-    if (!Pause(wake_at, [&] {
-          const bool needs = !m_preset_known && !m_watching;
-          return m_refresh != done_refresh || (needs && !need_preset);
-        })) {
-      return;
+    const auto has_news = [&] {
+      const bool needs = !m_preset_known && !m_watching;
+      return m_refresh != done_refresh || (needs && !need_preset);
+    };
+    if (!Pause(stop, wake_at, has_news)) {
+      return boost::outcome_v2::success();
     }
   }
 }
--- a/src/control/platform_workers.h
+++ b/src/control/platform_workers.h
@@ -9,13 +9,14 @@
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <optional>
-#include <thread>
 #include <vector>
 
 #include "azuregw/control/control_loop.h"
 #include "azuregw/preset/preset_record.h"
+#include "azuregw/supervisor/thread_component.h"
 
 namespace azuregw {
 
@@ -33,10 +34,10 @@
  public:
   PlatformWorkers(const ControlOptions& options, const ControlDependencies& dependencies,
                   PlatformReports reports);
-  ~PlatformWorkers();
 
-  void Start();
-  void Stop();
+  // The two threads, to be started and stopped by a supervisor.
+  Component* Watch() { return m_watch.get(); }
+  Component* Read() { return m_read.get(); }
 
   // Thread-safe; none of them blocks.
   void SetWatching(bool watching);
@@ -56,14 +57,15 @@
     Milliseconds m_delay = kFirst;
   };
 
-  void RunWatch();
-  void RunRead();
+  Result<void> RunWatch(const StopSignal& stop);
+  Result<void> RunRead(const StopSignal& stop);
   // Returns whether the call succeeded.
   bool WatchOnce(uint64_t* after);
   bool ReadPreset(uint64_t refresh);
   void ReadList(uint64_t refresh);
-  // Waits until `deadline` or until Stop or `wake` holds; returns whether to go on.
-  bool Pause(TimePoint deadline, const std::function<bool()>& wake);
+  // Waits until `deadline`, a stop or `wake`; returns whether to go on.
+  bool Pause(const StopSignal& stop, TimePoint deadline, const std::function<bool()>& wake);
+  void WakeAll();
 
   const ControlOptions m_options;
   const ControlDependencies m_dependencies;
@@ -71,13 +73,12 @@
 
   std::mutex m_mutex;
   std::condition_variable m_changed;
-  bool m_stopped = false;
   bool m_watching = false;
   bool m_preset_known = false;
   uint64_t m_refresh = 0;  // Latest number asked for.
 
-  std::thread m_watch_thread;
-  std::thread m_read_thread;
+  std::unique_ptr<Component> m_watch;
+  std::unique_ptr<Component> m_read;
 };
 
 }  // namespace azuregw
--- a/src/serve/instance.cc
+++ b/src/serve/instance.cc
@@ -96,12 +96,14 @@
     m_addresses.caller = m_traffic->Address();
     m_supervisor->SetProblemHandler(
         [this](std::string problem) { m_control->OnComponents(std::move(problem)); });
+    for (Component* component : m_control->Components()) {
+      m_supervisor->Add(component, RestartOptions());
+    }
     // Components that can fail by themselves are added to the supervisor here.
     const Result<void> supervised = m_supervisor->Start(nullptr);
     if (!supervised) {
       return supervised.error();
     }
-    m_control->Start();
     m_started = true;
     return boost::outcome_v2::success();
   }
@@ -121,7 +123,6 @@
         m_traffic->FlushOrders(SystemClock().Now() + m_settings.orders.flush_limit);
     m_traffic->Stop();
     m_admin->Stop();
-    m_control->Stop();
     m_supervisor->Stop();
     return unwritten;
   }
--- a/src/supervisor/thread_component.cc
+++ b/src/supervisor/thread_component.cc
@@ -11,8 +11,9 @@
 
 class ThreadComponent final : public Component {
  public:
-  ThreadComponent(std::string name, std::function<Result<void>(const StopSignal&)> body)
-      : m_name(std::move(name)), m_body(std::move(body)) {}
+  ThreadComponent(std::string name, std::function<Result<void>(const StopSignal&)> body,
+                  std::function<void()> on_stop)
+      : m_name(std::move(name)), m_body(std::move(body)), m_on_stop(std::move(on_stop)) {}
 
   ~ThreadComponent() override { Stop(); }
 
@@ -26,6 +27,9 @@
 
   void Stop() override {
     m_stop.Raise();
+    if (m_on_stop) {
+      m_on_stop();
+    }
     if (m_thread.joinable()) {
       m_thread.join();
     }
@@ -50,6 +54,7 @@
 
   const std::string m_name;
   const std::function<Result<void>(const StopSignal&)> m_body;
+  const std::function<void()> m_on_stop;
   StopSignal m_stop;
   std::thread m_thread;
 };
@@ -80,8 +85,9 @@
 }
 
 std::unique_ptr<Component> MakeThreadComponent(
-    std::string name, std::function<Result<void>(const StopSignal& stop)> body) {
-  return std::make_unique<ThreadComponent>(std::move(name), std::move(body));
+    std::string name, std::function<Result<void>(const StopSignal& stop)> body,
+    std::function<void()> on_stop) {
+  return std::make_unique<ThreadComponent>(std::move(name), std::move(body), std::move(on_stop));
 }
 
 }  // namespace azuregw
--- a/tests/control/control_loop_test.cc
+++ b/tests/control/control_loop_test.cc
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <mutex>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -187,6 +188,21 @@
   BOOST_TEST(WaitUntil([&] { return loop->Current()->leaving_upstreams.size() == 2; }));
 }
 
+// Guards against a process that dies, or a control thread that stays dead, after one fault.
+BOOST_AUTO_TEST_CASE(failed_control_thread_is_started_again) {
+  PutInForce("ordinary");
+  const auto root = MakeSupervisor("root", SystemClock());
+  for (Component* component : loop->Components()) {
+    root->Add(component, RestartOptions());
+  }
+  BOOST_REQUIRE(root->Start(nullptr));
+  BOOST_TEST(WaitForRevision(1));
+  loop->Post([] { throw std::runtime_error("fault"); });
+  PutInForce("peak");
+  BOOST_TEST(WaitForRevision(2));
+  root->Stop();
+}
+
 BOOST_AUTO_TEST_CASE(drain_ends_readiness) {
   PutInForce("ordinary");
   loop->Start();
