Print the ledger of refusals

GET /admin/refusals and azuregw refusals read the records in the key-value service. The admin server has a worker thread for handlers that make blocking calls, because these need the HTTP pool's threads for their own replies.

--- a/include/azuregw/admin/admin_server.h
+++ b/include/azuregw/admin/admin_server.h
@@ -32,12 +32,16 @@
 
 class AdminServer {
  public:
-  // Runs on a thread of the HTTP pool and must not block for long.
   using Handler = std::function<AdminReply(const AdminRequest& request)>;
+  enum class Execution {
+    kInline,  // On a thread of the HTTP pool; must not block.
+    kWorker,  // One at a time on a thread of the server; may make blocking calls.
+  };
 
   virtual ~AdminServer() = default;
   // A path that ends with '/' covers all paths below it; the longest match wins. Thread-safe.
-  virtual void Register(const std::string& method, const std::string& path, Handler handler) = 0;
+  virtual void Register(const std::string& method, const std::string& path, Handler handler,
+                        Execution execution = Execution::kInline) = 0;
   // Errors: kPortInUse.
   virtual Result<void> Start() = 0;
   virtual void Stop() = 0;
--- a/src/admin/admin_router.cc
+++ b/src/admin/admin_router.cc
@@ -30,10 +30,9 @@
   return difference == 0 && !expected.empty();
 }
 
-void AdminRouter::Register(const std::string& method, const std::string& path,
-                           AdminServer::Handler handler) {
+void AdminRouter::Register(const std::string& method, const std::string& path, Route route) {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  m_paths[path][method] = std::move(handler);
+  m_paths[path][method] = std::move(route);
 }
 
 bool AdminRouter::IsAuthorized(std::string_view path, std::string_view authorization) const {
@@ -45,7 +44,7 @@
          EqualSecrets(m_key, authorization.substr(kScheme.size()));
 }
 
-const AdminRouter::Methods* AdminRouter::Find(const std::string& path) const {
+const AdminRouter::Methods* AdminRouter::FindMethods(const std::string& path) const {
   const Methods* best = nullptr;
   size_t best_length = 0;
   for (const auto& [registered, methods] : m_paths) {
@@ -59,24 +58,21 @@
   return best;
 }
 
-AdminReply AdminRouter::Handle(const AdminRequest& request, std::string_view authorization) const {
-  if (!IsAuthorized(request.path, authorization)) {
-    return MakeErrorReply(NotRun(ResultCode::kUnauthorized, "expected the operators' bearer key"));
+Result<AdminRouter::Route> AdminRouter::Find(const std::string& method, const std::string& path,
+                                             std::string_view authorization) const {
+  if (!IsAuthorized(path, authorization)) {
+    return NotRun(ResultCode::kUnauthorized, "expected the operators' bearer key");
   }
-  AdminServer::Handler handler;
-  {
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    const Methods* methods = Find(request.path);
-    if (methods == nullptr) {
-      return MakeErrorReply(NotRun(ResultCode::kUnknownRoute, "no such path"));
-    }
-    const auto found = methods->find(request.method);
-    if (found == methods->end()) {
-      return MakeErrorReply(NotRun(ResultCode::kMethodNotAllowed, "no such method on this path"));
-    }
-    handler = found->second;
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  const Methods* methods = FindMethods(path);
+  if (methods == nullptr) {
+    return NotRun(ResultCode::kUnknownRoute, "no such path");
+  }
+  const auto found = methods->find(method);
+  if (found == methods->end()) {
+    return NotRun(ResultCode::kMethodNotAllowed, "no such method on this path");
   }
-  return handler(request);
+  return found->second;
 }
 
 }  // namespace azuregw
--- a/src/admin/admin_router.h
+++ b/src/admin/admin_router.h
@@ -23,17 +23,24 @@
  public:
   explicit AdminRouter(std::string key) : m_key(std::move(key)) {}
 
-  void Register(const std::string& method, const std::string& path, AdminServer::Handler handler);
+  struct Route {
+    AdminServer::Handler handler;
+    AdminServer::Execution execution = AdminServer::Execution::kInline;
+  };
 
-  // `authorization` is the value of the header, or empty.
-  AdminReply Handle(const AdminRequest& request, std::string_view authorization) const;
+  void Register(const std::string& method, const std::string& path, Route route);
+
+  // `authorization` is the value of the header, or empty. Errors: kUnauthorized, kUnknownRoute,
+  // kMethodNotAllowed.
+  Result<Route> Find(const std::string& method, const std::string& path,
+                     std::string_view authorization) const;
 
  private:
-  using Methods = std::map<std::string, AdminServer::Handler>;
+  using Methods = std::map<std::string, Route>;
 
   bool IsAuthorized(std::string_view path, std::string_view authorization) const;
   // Null when no registered path covers `path`. The lock is held.
-  const Methods* Find(const std::string& path) const;
+  const Methods* FindMethods(const std::string& path) const;
 
   const std::string m_key;
   mutable std::mutex m_mutex;
--- a/src/admin/admin_server.cc
+++ b/src/admin/admin_server.cc
@@ -4,7 +4,13 @@
 
 #include <cpprest/http_listener.h>
 
+#include <condition_variable>
+#include <deque>
+#include <functional>
 #include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
 #include <utility>
 
 #include "admin/admin_router.h"
@@ -37,8 +43,9 @@
 
   ~CpprestAdminServer() override { Stop(); }
 
-  void Register(const std::string& method, const std::string& path, Handler handler) override {
-    m_router.Register(method, path, std::move(handler));
+  void Register(const std::string& method, const std::string& path, Handler handler,
+                Execution execution) override {
+    m_router.Register(method, path, {std::move(handler), execution});
   }
 
   Result<void> Start() override {
@@ -47,6 +54,7 @@
           web::uri("http://" + m_address));
       m_listener->support([this](const http::http_request& request) { Receive(request); });
       m_listener->open().wait();
+      m_worker = std::thread([this] { RunWorker(); });
       return boost::outcome_v2::success();
     } catch (const std::exception& error) {
       m_listener.reset();
@@ -65,6 +73,12 @@
       // The listener is given up in any case.
     }
     m_listener.reset();
+    {
+      const std::lock_guard<std::mutex> lock(m_mutex);
+      m_stopped = true;
+    }
+    m_changed.notify_all();
+    m_worker.join();
   }
 
  private:
@@ -98,12 +112,54 @@
     if (header != request.headers().end()) {
       authorization = header->second;
     }
-    SendReply(request, m_router.Handle(admin, authorization));
+    Result<AdminRouter::Route> route = m_router.Find(admin.method, admin.path, authorization);
+    if (!route) {
+      SendReply(request, MakeErrorReply(route.error()));
+      return;
+    }
+    Handler handler = std::move(route.value().handler);
+    if (route.value().execution == Execution::kInline) {
+      SendReply(request, handler(admin));
+      return;
+    }
+    QueueWork([request, admin = std::move(admin), handler = std::move(handler)] {
+      SendReply(request, handler(admin));
+    });
+  }
+
+  void QueueWork(std::function<void()> work) {
+    {
+      const std::lock_guard<std::mutex> lock(m_mutex);
+      m_work.push_back(std::move(work));
+    }
+    m_changed.notify_one();
+  }
+
+  // Requests that are still queued at the stop get no reply, because their connections are closed.
+  void RunWorker() {
+    std::unique_lock<std::mutex> lock(m_mutex);
+    while (true) {
+      m_changed.wait(lock, [this] { return m_stopped || !m_work.empty(); });
+      if (m_stopped) {
+        return;
+      }
+      const std::function<void()> work = std::move(m_work.front());
+      m_work.pop_front();
+      lock.unlock();
+      work();
+      lock.lock();
+    }
   }
 
   const std::string m_address;
   AdminRouter m_router;
   std::unique_ptr<http::experimental::listener::http_listener> m_listener;
+
+  std::mutex m_mutex;
+  std::condition_variable m_changed;
+  std::deque<std::function<void()>> m_work;
+  bool m_stopped = false;
+  std::thread m_worker;
 };
 
 }  // namespace
--- a/src/cli/command_table.cc
+++ b/src/cli/command_table.cc
@@ -19,6 +19,7 @@
 DEFINE_uint64(expect_version, 0, "change only if the preset still has this version");
 DEFINE_uint64(revision, 0, "revision to wait for");
 DEFINE_uint64(timeout_ms, 30000, "longest wait, in ms; default 30000");
+DEFINE_uint64(hours, 24, "refusals: hours up to now; default 24");
 DEFINE_string(request, "", "only events of this request");
 
 namespace azuregw {
@@ -27,7 +28,7 @@
 
 constexpr const char* kFlagNames[] = {
     "config", "kv",     "list",           "admin",    "key_file",   "call_timeout_ms", "json",
-    "author", "expect", "expect_version", "revision", "timeout_ms", "request"};
+    "author", "expect", "expect_version", "revision", "timeout_ms", "request",         "hours"};
 
 }  // namespace
 
@@ -132,7 +133,7 @@
        0,
        0,
        "prints the minutes in which callers were refused",
-       {"admin", "list", "config", "key_file", "call_timeout_ms", "json"}},
+       {"kv", "config", "call_timeout_ms", "json", "hours"}},
       {"timeline",
        "",
        0,
--- a/src/cli/instance_commands.cc
+++ b/src/cli/instance_commands.cc
@@ -6,16 +6,19 @@
 
 #include <algorithm>
 #include <iostream>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "admin/refusals_json.h"
 #include "cli/json_table.h"
 #include "cli/table.h"
 
 DECLARE_bool(json);
 DECLARE_string(request);
+DECLARE_uint64(hours);
 
 namespace azuregw {
 namespace {
@@ -171,29 +174,28 @@
 }
 
 int Refusals(const CommandContext& context) {
-  const Result<std::vector<AdminTarget>> targets = context.Targets();
-  if (!targets) {
-    return context.Fail(targets.error());
+  // The ledger is in the key-value service, so that it can be read while no instance answers.
+  const Result<std::unique_ptr<KeyValueStore>> store = context.OpenStore();
+  if (!store) {
+    return context.Fail(store.error());
   }
-  // The ledger is in the key-value service, so any instance can answer for all.
-  Error last = NotRun(ResultCode::kAdminUnreachable, "the list names no instances");
-  for (const AdminTarget& target : targets.value()) {
-    const AdminAnswer answer = context.AskAll({target}, "GET", "/admin/refusals").front();
-    if (!answer.body) {
-      last = answer.body.error();
-      continue;
-    }
-    const json document = json::parse(answer.body.value(), nullptr, false);
-    if (FLAGS_json) {
-      context.PrintJson(document);
-    } else {
-      std::cout << JsonTable(
-          document.is_object() ? document.value("minutes", json::array()) : json::array(),
-          {"minute", "workspace", "reason", "count"});
-    }
+  const Result<json> document =
+      ReadRefusals(store.value().get(), static_cast<int64_t>(FLAGS_hours), SystemClock().WallMs());
+  if (!document) {
+    return context.Fail(document.error());
+  }
+  if (FLAGS_json) {
+    context.PrintJson(document.value());
     return Success();
   }
-  return context.Fail(last);
+  std::cout << JsonTable(document.value()["rows"],
+                         {"minute", "failure_domain", "workspace", "reason", "count"});
+  std::cout << document.value()["refusal_minutes"].size() << " minutes with refusals\n";
+  for (const json& minute : document.value()["incomplete_minutes"]) {
+    std::cout << "incomplete: " << minute["minute"].get<std::string>() << " "
+              << minute["failure_domains"].dump() << "\n";
+  }
+  return Success();
 }
 
 int UpstreamLeaving(const CommandContext& context) { return ChangeUpstream(context, "POST"); }
--- a/src/control/control_state.h
+++ b/src/control/control_state.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "azuregw/control/control_loop.h"
 #include "azuregw/control/peer_group.h"
--- a/src/serve/instance.cc
+++ b/src/serve/instance.cc
@@ -4,10 +4,12 @@
 #include "azuregw/serve/instance.h"
 
 #include <atomic>
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 
+#include "admin/refusals_json.h"
 #include "azuregw/admin/admin_server.h"
 #include "azuregw/base/listen_address.h"
 #include "azuregw/control/control_loop.h"
@@ -143,11 +145,30 @@
       m_drain_asked = true;
       return JsonReply({{"instance", m_settings.instance.name}, {"draining", true}});
     });
+    m_admin->Register(
+        "GET", "/admin/refusals", [this](const AdminRequest& r) { return RefusalsReply(r); },
+        AdminServer::Execution::kWorker);
     const auto upstreams = [this](const AdminRequest& request) { return MarkUpstream(request); };
     m_admin->Register("POST", kUpstreamsPath, upstreams);
     m_admin->Register("DELETE", kUpstreamsPath, upstreams);
   }
 
+  // GET /admin/refusals[?hours=N]
+  AdminReply RefusalsReply(const AdminRequest& request) {
+    constexpr int64_t kDefaultHours = 24;
+    constexpr int64_t kMaxHours = 24 * 366;
+    const auto given = request.query.find("hours");
+    int64_t hours = kDefaultHours;
+    if (given != request.query.end()) {
+      hours = std::strtoll(given->second.c_str(), nullptr, 10);
+    }
+    if (hours < 1 || hours > kMaxHours) {
+      return MakeErrorReply(NotRun(ResultCode::kInvalidField, "hours: expected 1 to 8784"));
+    }
+    const Result<nlohmann::json> table = ReadRefusals(m_kv.get(), hours, SystemClock().WallMs());
+    return table ? JsonReply(table.value()) : MakeErrorReply(table.error());
+  }
+
   AdminReply ReadyReply() const {
     const Readiness readiness = m_control->CurrentReadiness();
     AdminReply reply = JsonReply({{"ready", readiness.ready},
--- a/tests/admin/admin_router_test.cc
+++ b/tests/admin/admin_router_test.cc
@@ -10,12 +10,14 @@
 
 constexpr const char* kKey = "operator-key-0123456789";
 
-AdminServer::Handler Answer(const std::string& body) {
-  return [body](const AdminRequest&) {
+AdminRouter::Route Answer(const std::string& body) {
+  AdminRouter::Route route;
+  route.handler = [body](const AdminRequest&) {
     AdminReply reply;
     reply.body = body;
     return reply;
   };
+  return route;
 }
 
 struct Fixture {
@@ -27,10 +29,8 @@
   }
   AdminReply Ask(const std::string& method, const std::string& path,
                  const std::string& authorization) {
-    AdminRequest request;
-    request.method = method;
-    request.path = path;
-    return router.Handle(request, authorization);
+    const Result<AdminRouter::Route> route = router.Find(method, path, authorization);
+    return route ? route.value().handler(AdminRequest()) : MakeErrorReply(route.error());
   }
   AdminReply Ask(const std::string& method, const std::string& path) {
     return Ask(method, path, std::string("Bearer ") + kKey);
--- a/tests/admin/admin_server_test.cc
+++ b/tests/admin/admin_server_test.cc
@@ -67,6 +67,28 @@
   BOOST_TEST(Call("", kKey).value().status == 500);
 }
 
+// Guards against blocking calls on the threads that serve the blocking calls' own replies.
+BOOST_AUTO_TEST_CASE(worker_handlers_may_call_the_server_itself) {
+  server->Register(
+      "POST", "/echo/a b",
+      [this](const AdminRequest&) {
+        HttpCallRequest request;
+        request.method = "GET";
+        request.path = "/readyz";
+        AdminReply reply;
+        reply.body = MakeHttpCaller(address, Milliseconds(5000))->Call(request).value().body;
+        return reply;
+      },
+      AdminServer::Execution::kWorker);
+  server->Register("GET", "/readyz", [](const AdminRequest&) {
+    AdminReply reply;
+    reply.body = "inner";
+    return reply;
+  });
+  BOOST_REQUIRE(server->Start());
+  BOOST_TEST(Call("", kKey).value().body == "inner");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
