Take the number of shards from the preset of the first order

The layout could be created with the default number when an order came before the periodic configuration; the forwarders now configure the committer before each claim. Recorded answers no longer wait for the next swap.

--- a/include/azuregw/orders/order_committer.h
+++ b/include/azuregw/orders/order_committer.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "azuregw/base/clock.h"
+#include "azuregw/control/snapshot.h"
 #include "azuregw/kv/key_value_store.h"
 #include "azuregw/orders/claim_batcher.h"
 #include "azuregw/orders/claim_record.h"
@@ -37,6 +38,9 @@
 
   // Applies to shards whose layout is not yet recorded and to the retention of all shards.
   virtual void Configure(int initial_shards, int64_t retention_ms) = 0;
+  // The same from the preset of a request. Called before its claim is submitted, so that the layout
+  // is never created with a default while the preset says otherwise.
+  void Configure(const Snapshot& snapshot);
 
   // Writes queued outcomes without delay from now on.
   virtual void FlushOutcomes() = 0;
--- a/src/orders/claim_batcher.cc
+++ b/src/orders/claim_batcher.cc
@@ -91,6 +91,9 @@
       return Write(Call::kWriteBody, outcome.claim.answer->body_key, 0, outcome.body_value);
     }
   }
+  if (m_loaded) {
+    AnswerFromRecord(wall_ms);  // Recorded answers do not wait for a swap.
+  }
   const bool claims_due = ClaimsDue(now);
   if (claims_due || OutcomesDue(now)) {
     if (!m_loaded) {
--- a/src/orders/local_claim_forwarder.cc
+++ b/src/orders/local_claim_forwarder.cc
@@ -12,8 +12,8 @@
  public:
   explicit LocalClaimForwarder(OrderCommitter* committer) : m_committer(committer) {}
 
-  void Submit(const Snapshot& /*snapshot*/, Claim claim, TimePoint deadline,
-              ClaimDone done) override {
+  void Submit(const Snapshot& snapshot, Claim claim, TimePoint deadline, ClaimDone done) override {
+    m_committer->Configure(snapshot);
     m_committer->Submit(std::move(claim), deadline, std::move(done));
   }
 
--- a/src/orders/order_committer.cc
+++ b/src/orders/order_committer.cc
@@ -58,6 +58,8 @@
 
 class ThreadedCommitter final : public OrderCommitter {
  public:
+  using OrderCommitter::Configure;
+
   ThreadedCommitter(KeyValueStore* store, const Clock* clock, CommitterOptions options)
       : m_store(store), m_clock(clock), m_options(std::move(options)) {
     m_initial_shards = m_options.initial_shards;
@@ -377,6 +379,13 @@
 
 }  // namespace
 
+void OrderCommitter::Configure(const Snapshot& snapshot) {
+  if (snapshot.preset != nullptr) {
+    const OrderSpec& orders = snapshot.preset->orders;
+    Configure(orders.shards, Milliseconds(orders.retention).count());
+  }
+}
+
 std::unique_ptr<OrderCommitter> MakeOrderCommitter(KeyValueStore* store, const Clock* clock,
                                                    CommitterOptions options) {
   return std::make_unique<ThreadedCommitter>(store, clock, std::move(options));
--- a/src/orders/peer_claim_forwarder.cc
+++ b/src/orders/peer_claim_forwarder.cc
@@ -40,6 +40,7 @@
       : m_peers(peers), m_committer(committer), m_clock(clock) {}
 
   void Submit(const Snapshot& snapshot, Claim claim, TimePoint deadline, ClaimDone done) override {
+    m_committer->Configure(snapshot);
     auto submission = std::make_shared<Submission>();
     submission->snapshot = std::make_shared<const Snapshot>(snapshot);
     submission->claim = std::move(claim);
--- a/tests/orders/order_fixture.h
+++ b/tests/orders/order_fixture.h
@@ -23,7 +23,7 @@
   return out << ResultCodeName(code);
 }
 
-inline std::shared_ptr<const Snapshot> MakeOrderSnapshot(int upstreams = 3) {
+inline std::shared_ptr<const Snapshot> MakeOrderSnapshot(int upstreams = 3, int shards = 4) {
   auto preset = std::make_shared<Preset>();
   preset->services["bookings"].operations = {
       OperationSpec{"POST", "/deposits", false, true},
@@ -35,6 +35,7 @@
     preset->service_upstreams[name] =
         ServiceUpstreamSpec{name, "bookings", "127.0.0.1:910" + std::to_string(i), "fd-a", 16};
   }
+  preset->orders.shards = shards;
   auto snapshot = std::make_shared<Snapshot>();
   snapshot->preset = std::move(preset);
   snapshot->self = "gw-1";
@@ -46,7 +47,6 @@
   OrderInstance(KeyValueStore* store, ServiceClient* client, uint64_t seed,
                 CommitterOptions options = {}) {
     options.threads = 2;
-    options.initial_shards = 4;
     options.batcher.outcome_linger = Milliseconds(5);
     committer = MakeOrderCommitter(store, &SystemClock(), options);
     forwarder = MakeLocalClaimForwarder(committer.get());
--- a/tests/orders/order_service_test.cc
+++ b/tests/orders/order_service_test.cc
@@ -42,6 +42,23 @@
   BOOST_TEST(client.Effects("k1") == 1);
 }
 
+// Guards against a key that looks unused after an operator changed the number of shards: it stays
+// the one with which the first order was claimed.
+BOOST_AUTO_TEST_CASE(change_of_the_number_of_shards_has_no_effect) {
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(CodeOf(first.Run(Deposit("k" + std::to_string(i)))) == ResultCode::kOk);
+  }
+  BOOST_TEST(first.service->Flush(SystemClock().Now() + Milliseconds(5000)) == 0);
+  BOOST_REQUIRE(store.Get("azuregw/orders/layout").value());
+  BOOST_TEST(store.Get("azuregw/orders/layout").value()->value == "4");
+  second.snapshot = MakeOrderSnapshot(3, 7);
+  for (int i = 0; i < 20; ++i) {
+    const Result<ServiceAnswer> repeat = second.Run(Deposit("k" + std::to_string(i)));
+    BOOST_REQUIRE(repeat);
+    BOOST_TEST(repeat.value().replayed);
+  }
+}
+
 // Guards against an answer of one workspace that is replayed to another.
 BOOST_AUTO_TEST_CASE(keys_are_scoped_by_workspace) {
   BOOST_TEST(CodeOf(first.Run(Deposit("k1"))) == ResultCode::kOk);
--- a/tests/orders/peer_claim_forwarder_test.cc
+++ b/tests/orders/peer_claim_forwarder_test.cc
@@ -100,7 +100,6 @@
       : peers(network, name) {
     CommitterOptions options;
     options.threads = 2;
-    options.initial_shards = 4;
     options.batcher.outcome_linger = Milliseconds(2);
     committer = MakeOrderCommitter(store, &SystemClock(), options);
     ServeClaims(&peers, committer.get(), &SystemClock());
