Leave the forwarder alone after the order service was destroyed

A reply of the service client could arrive later than the forwarder lives and was then recorded through it.

--- a/include/azuregw/orders/order_service.h
+++ b/include/azuregw/orders/order_service.h
@@ -48,7 +48,7 @@
   virtual int Flush(TimePoint deadline) = 0;
 };
 
-// What an order service works with; all but `random` must outlive it.
+// What an order service works with; all but `random` must live until it is destroyed.
 struct OrderServiceParts {
   ServiceClient* client = nullptr;
   ClaimForwarder* forwarder = nullptr;
@@ -60,8 +60,8 @@
   EventRecorder* events = nullptr;  // Optional.
 };
 
-// Callbacks of `client` and `forwarder` may still arrive after the service was destroyed; they then
-// have no effect but the recording of outcomes.
+// Callbacks of `client` and `forwarder` that arrive after the service was destroyed have no effect:
+// outcomes that come then are not recorded, and their keys become unknown.
 std::unique_ptr<OrderService> MakeOrderService(OrderServiceParts parts);
 
 }  // namespace azuregw
