--- a/include/azuregw/preset/preset_store.h
+++ b/include/azuregw/preset/preset_store.h
@@ -25,6 +25,13 @@
   std::string document;  // JSON text.
 };
 
+// What must hold for a preset to be put in force; absent conditions hold.
+struct UseConditions {
+  std::optional<uint64_t> revision;  // In force before.
+  // Of the named preset. Guards against a reader of the service that lags behind an edit.
+  std::optional<uint64_t> version;
+};
+
 class PresetStore {
  public:
   // `new_change_id` returns a text that is unique over all processes. `sleep` waits between
@@ -34,12 +41,13 @@
 
   // Errors of all calls: kKvUnavailable (nothing changed).
 
-  // Validates and stores a new named preset. Errors: kPresetInvalid, kPresetConflict (the name
-  // exists), kPresetOutcomeUnknown.
-  Result<void> Create(const std::string& name, std::string_view document);
+  // Validates and stores a new named preset; returns its version. Errors: kPresetInvalid,
+  // kPresetConflict (the name exists), kPresetOutcomeUnknown.
+  Result<uint64_t> Create(const std::string& name, std::string_view document);
 
-  // Replaces a named preset if it still has `version`. Errors as for Create, and kKvNotFound.
-  Result<void> Edit(const std::string& name, uint64_t version, std::string_view document);
+  // Replaces a named preset if it still has `version`; returns the new version. Errors as for
+  // Create, and kKvNotFound.
+  Result<uint64_t> Edit(const std::string& name, uint64_t version, std::string_view document);
 
   // Errors: kKvNotFound.
   Result<NamedPreset> Show(const std::string& name);
@@ -51,11 +59,10 @@
   Result<std::optional<PresetRecord>> Current();
 
   // Puts the named preset in force and returns its revision; success means that the change took
-  // effect. With `expected`, only when that revision is in force before. Errors: kKvNotFound,
-  // kPresetInvalid, kPresetConflict (not changed; the message names the revision that won),
-  // kPresetOutcomeUnknown.
+  // effect. Errors: kKvNotFound, kPresetInvalid, kPresetConflict (not changed; the message names
+  // the revision that won), kPresetOutcomeUnknown.
   Result<uint64_t> Use(const std::string& name, const std::string& author,
-                       std::optional<uint64_t> expected);
+                       const UseConditions& conditions);
 
  private:
   struct CurrentEntry {
@@ -66,8 +73,10 @@
   Result<CurrentEntry> ReadCurrent();
   Result<uint64_t> Swap(const CurrentEntry& base, const PresetRecord& next);
   Result<uint64_t> Resolve(const CurrentEntry& base, const std::string& change_id);
-  Result<void> Write(const std::string& name, uint64_t version, std::string_view document);
-  Result<void> ResolveWrite(const std::string& name, uint64_t version, const std::string& document);
+  Result<uint64_t> Write(const std::string& name, uint64_t version, std::string_view document);
+  Result<uint64_t> ResolveWrite(const std::string& name, uint64_t version,
+                                const std::string& document);
+  Error ConflictWithWinner(const CurrentEntry& base);
 
   KeyValueStore* m_store;
   std::function<std::string()> m_new_change_id;
--- a/src/cli/command_table.cc
+++ b/src/cli/command_table.cc
@@ -77,7 +77,7 @@
        1,
        1,
        "puts a named preset in force",
-       {"kv", "config", "call_timeout_ms", "json", "author", "expect"}},
+       {"kv", "config", "call_timeout_ms", "json", "author", "expect", "expect_version"}},
       {"preset show",
        "[NAME]",
        0,
--- a/src/cli/preset_commands.cc
+++ b/src/cli/preset_commands.cc
@@ -124,11 +124,12 @@
     return context.Fail(presets.error());
   }
   const std::string& name = context.Arguments()[0];
-  const Result<void> created = presets.value().store->Create(name, text.value());
+  const Result<uint64_t> created = presets.value().store->Create(name, text.value());
   if (!created) {
     return context.Fail(created.error());
   }
-  return Print(context, {{"created", name}}, "created " + name + "\n");
+  return Print(context, {{"created", name}, {"version", created.value()}},
+               "created " + name + ": version " + std::to_string(created.value()) + "\n");
 }
 
 int PresetEdit(const CommandContext& context) {
@@ -148,22 +149,28 @@
   }
   const uint64_t base =
       context.HasFlag("expect_version") ? FLAGS_expect_version : current.value().version;
-  const Result<void> edited = store.Edit(name, base, text.value());
+  const Result<uint64_t> edited = store.Edit(name, base, text.value());
   if (!edited) {
     return context.Fail(edited.error());
   }
-  return Print(context, {{"edited", name}}, "edited " + name + "\n");
+  return Print(context, {{"edited", name}, {"version", edited.value()}},
+               "edited " + name + ": version " + std::to_string(edited.value()) + "\n");
 }
 
 int PresetUse(const CommandContext& context) {
-  const std::optional<uint64_t> expected =
-      context.HasFlag("expect") ? std::optional<uint64_t>(FLAGS_expect) : std::nullopt;
+  UseConditions conditions;
+  if (context.HasFlag("expect")) {
+    conditions.revision = FLAGS_expect;
+  }
+  if (context.HasFlag("expect_version")) {
+    conditions.version = FLAGS_expect_version;
+  }
   const Result<OpenPresets> presets = Open(context);
   if (!presets) {
     return context.Fail(presets.error());
   }
   const std::string& name = context.Arguments()[0];
-  const Result<uint64_t> revision = presets.value().store->Use(name, Author(), expected);
+  const Result<uint64_t> revision = presets.value().store->Use(name, Author(), conditions);
   if (!revision) {
     return context.Fail(revision.error());
   }
--- a/src/preset/preset_store.cc
+++ b/src/preset/preset_store.cc
@@ -52,20 +52,20 @@
                          std::function<void(Milliseconds)> sleep)
     : m_store(store), m_new_change_id(std::move(new_change_id)), m_sleep(std::move(sleep)) {}
 
-Result<void> PresetStore::Create(const std::string& name, std::string_view document) {
+Result<uint64_t> PresetStore::Create(const std::string& name, std::string_view document) {
   return Write(name, 0, document);
 }
 
-Result<void> PresetStore::Edit(const std::string& name, uint64_t version,
-                               std::string_view document) {
+Result<uint64_t> PresetStore::Edit(const std::string& name, uint64_t version,
+                                   std::string_view document) {
   if (version == 0) {
     return NotRun(ResultCode::kKvNotFound, "no preset \"" + name + "\"");
   }
   return Write(name, version, document);
 }
 
-Result<void> PresetStore::Write(const std::string& name, uint64_t version,
-                                std::string_view document) {
+Result<uint64_t> PresetStore::Write(const std::string& name, uint64_t version,
+                                    std::string_view document) {
   if (!IsPresetName(name)) {
     return NotRun(ResultCode::kPresetInvalid,
                   "preset name: expected 1 to 64 letters, digits, \"-\", \"_\" or \".\"");
@@ -80,7 +80,7 @@
   const std::string text = EncodePreset(preset.value());
   const Result<uint64_t> written = m_store->CompareAndSwap(NamedKey(name), version, text, "");
   if (written) {
-    return boost::outcome_v2::success();
+    return written.value();
   }
   if (written.error().code == ResultCode::kKvConflict) {
     return NotRun(ResultCode::kPresetConflict,
@@ -93,8 +93,8 @@
   return written.error();
 }
 
-Result<void> PresetStore::ResolveWrite(const std::string& name, uint64_t version,
-                                       const std::string& document) {
+Result<uint64_t> PresetStore::ResolveWrite(const std::string& name, uint64_t version,
+                                           const std::string& document) {
   for (int attempt = 0; attempt < kReadBackAttempts; ++attempt) {
     m_sleep(kReadBackInterval);
     const auto entry = m_store->Get(NamedKey(name));
@@ -102,11 +102,11 @@
       continue;
     }
     const uint64_t found = entry.value() ? entry.value()->revision : 0;
-    if (found == version) {
-      continue;  // The write may still arrive.
+    if (found <= version) {
+      continue;  // The write may still arrive, or the reader lags.
     }
-    if (entry.value() && entry.value()->value == document) {
-      return boost::outcome_v2::success();
+    if (entry.value()->value == document) {
+      return found;
     }
     return NotRun(ResultCode::kPresetConflict,
                   "preset \"" + name + "\" has another content; someone else changed it");
@@ -169,11 +169,15 @@
 }
 
 Result<uint64_t> PresetStore::Use(const std::string& name, const std::string& author,
-                                  std::optional<uint64_t> expected) {
+                                  const UseConditions& conditions) {
   Result<NamedPreset> named = Show(name);
   if (!named) {
     return named.error();
   }
+  if (conditions.version && *conditions.version != named.value().version) {
+    return NotRun(ResultCode::kPresetConflict, "not changed: preset \"" + name + "\" has version " +
+                                                   std::to_string(named.value().version));
+  }
   const Result<Preset> preset = DecodePreset(named.value().document);
   if (!preset) {
     return preset.error();
@@ -183,7 +187,7 @@
     return base.error();
   }
   const PresetRecord& record = base.value().record;
-  if (expected && *expected != record.revision) {
+  if (conditions.revision && *conditions.revision != record.revision) {
     return Conflict(record.revision, record.author, record.name);
   }
   return Swap(base.value(), NextRecord(record, name, author, m_new_change_id(),
@@ -197,12 +201,7 @@
     return next.revision;
   }
   if (swapped.error().code == ResultCode::kKvConflict) {
-    const Result<CurrentEntry> winner = ReadCurrent();
-    if (!winner) {
-      return NotRun(ResultCode::kPresetConflict, "not changed: another revision is in force");
-    }
-    const PresetRecord& record = winner.value().record;
-    return Conflict(record.revision, record.author, record.name);
+    return ConflictWithWinner(base);
   }
   if (swapped.error().code == ResultCode::kKvOutcomeUnknown) {
     return Resolve(base, next.change_id);
@@ -210,14 +209,29 @@
   return swapped.error();
 }
 
+// Reads until the winner is visible, because a reader may lag behind the refused swap.
+Error PresetStore::ConflictWithWinner(const CurrentEntry& base) {
+  for (int attempt = 0; attempt < kReadBackAttempts; ++attempt) {
+    const Result<CurrentEntry> winner = ReadCurrent();
+    if (winner && winner.value().version > base.version) {
+      const PresetRecord& record = winner.value().record;
+      return Conflict(record.revision, record.author, record.name);
+    }
+    m_sleep(kReadBackInterval);
+  }
+  return NotRun(ResultCode::kPresetConflict, "not changed: a revision above " +
+                                                 std::to_string(base.record.revision) +
+                                                 " is in force; it can't be read now");
+}
+
 // A swap is decided once the key has left `base`: it then either shows the change id, or can never
 // take effect, because it expects the version of `base`.
 Result<uint64_t> PresetStore::Resolve(const CurrentEntry& base, const std::string& change_id) {
   for (int attempt = 0; attempt < kReadBackAttempts; ++attempt) {
     m_sleep(kReadBackInterval);
     const Result<CurrentEntry> current = ReadCurrent();
-    if (!current || current.value().version == base.version) {
-      continue;
+    if (!current || current.value().version <= base.version) {
+      continue;  // The swap may still arrive, or the reader lags.
     }
     const PresetRecord& record = current.value().record;
     for (const PresetChange& change : record.recent_changes) {
--- a/tests/peer/peer_service_test.cc
+++ b/tests/peer/peer_service_test.cc
@@ -135,7 +135,7 @@
   BOOST_TEST(fleet.WaitAll([](const Snapshot& s) { return !s.refreshing; }));
   PresetStore store(&fleet.kv, MakeUniqueId, [](Milliseconds) {});
   BOOST_REQUIRE(!store.Create("ordinary", TestPresetDocument().dump()).has_error());
-  BOOST_REQUIRE(!store.Use("ordinary", "test", std::nullopt).has_error());
+  BOOST_REQUIRE(!store.Use("ordinary", "test", {}).has_error());
   BOOST_TEST(fleet.WaitAll([](const Snapshot& s) { return s.preset_revision > 0; }));
   fleet.instances[1]->loop->OnUpstreamLeaving("design-a1");
   BOOST_TEST(
--- a/tests/preset/preset_store_test.cc
+++ b/tests/preset/preset_store_test.cc
@@ -75,8 +75,8 @@
 BOOST_AUTO_TEST_CASE(expected_revision_is_checked) {
   CreateTwo();
   BOOST_REQUIRE(store.Use("ordinary", "ann", {}));
-  BOOST_TEST((store.Use("peak", "bob", 0).error().code == ResultCode::kPresetConflict));
-  BOOST_TEST(store.Use("peak", "bob", 1).value() == 2u);
+  BOOST_TEST((store.Use("peak", "bob", {0, {}}).error().code == ResultCode::kPresetConflict));
+  BOOST_TEST(store.Use("peak", "bob", {1, {}}).value() == 2u);
 }
 
 // Guards against reporting a failure, or swapping twice, when only the reply was lost.
@@ -139,6 +139,15 @@
               ResultCode::kPresetInvalid));
 }
 
+// Guards against putting an older content in force when the service's reader lags behind an edit.
+BOOST_AUTO_TEST_CASE(expected_version_of_the_named_preset_is_checked) {
+  CreateTwo();
+  const uint64_t version = store.Show("peak").value().version;
+  BOOST_TEST(
+      (store.Use("peak", "ann", {{}, version + 1}).error().code == ResultCode::kPresetConflict));
+  BOOST_TEST(store.Use("peak", "ann", {{}, version}).value() == 1u);
+}
+
 // Guards against one operator overwriting another's edit of the same preset.
 BOOST_AUTO_TEST_CASE(edit_needs_the_version_it_was_based_on) {
   CreateTwo();
