--- a/src/serve/instance.cc
+++ b/src/serve/instance.cc
@@ -156,7 +156,7 @@
   // GET /admin/refusals[?hours=N]
   AdminReply RefusalsReply(const AdminRequest& request) {
     constexpr int64_t kDefaultHours = 24;
-    constexpr int64_t kMaxHours = 24 * 366;
+    constexpr int64_t kMaxHours = 8784;  // One year.
     const auto given = request.query.find("hours");
     int64_t hours = kDefaultHours;
     if (given != request.query.end()) {
