Do not ask the peer group before the start of the control loop

SetPeers published at once, and the peer service has no membership before its own start: azuregw serve ended with a segmentation fault. The watch now starts from the control thread only.

--- a/src/control/control_loop.cc
+++ b/src/control/control_loop.cc
@@ -40,15 +40,13 @@
     m_last_tick = Now();
     m_thread = MakeThreadComponent(
         "control", [this](const StopSignal& stop) { return Run(stop); }, [this] { Wake(); });
-    Publish();
+    PublishState();
   }
 
   ~ControlLoopThread() override { Stop(); }
 
-  void SetPeers(PeerGroup* peers) override {
-    m_peers = peers;
-    Publish();
-  }
+  // The group need not work before Start.
+  void SetPeers(PeerGroup* peers) override { m_peers = peers; }
 
   void AddPauseListener(std::function<void()> listener) override {
     m_pause_listeners.push_back(std::move(listener));
@@ -253,6 +251,10 @@
       m_watching = watching;
       m_workers.SetWatching(watching);
     }
+    PublishState();
+  }
+
+  void PublishState() {
     PublishReadiness();
     const Fingerprint fingerprint = {m_peers, m_peers->Version(), m_state.Preset().revision,
                                      m_state.Draining(),
