--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -25,15 +25,19 @@
 constexpr size_t kRefreshAnswers = 2;
 constexpr Milliseconds kSecondAnswerLimit{1500};
 constexpr size_t kMaxFullStatesPerSecond = 5;
-// Each update is sent about this many times the logarithm of the number of members.
-constexpr size_t kSendsPerLog = 2;
-
-size_t SendLimit(size_t members) {
+// An update that takes an instance or upstream out of service, or brings it back, is sent this many
+// times the logarithm of the number of members.
+constexpr size_t kUrgentSendsPerLog = 2;
+// Other news are sent this often: a common start of 600 instances queues 600 of them, and 32 leave
+// per second. Full states carry them to the few instances that they do not reach.
+constexpr size_t kQuietSends = 5;
+
+size_t UrgentSends(size_t members) {
   size_t log = 1;
   while ((size_t{1} << log) < members + 1) {
     ++log;
   }
-  return kSendsPerLog * log;
+  return kUrgentSendsPerLog * log;
 }
 
 Member SelfMember(const MembershipOptions& options) {
@@ -224,7 +228,7 @@
 
 void MembershipImpl::Announce(UpdateKind kind, const std::string& name) {
   ++m_version;
-  m_queue.Add(kind, name, m_options.forward_rounds);
+  m_queue.Add(kind, name, m_options.forward_rounds, UrgentSends(m_table.Others().size() + 1));
 }
 
 void MembershipImpl::Forward(Instant at, HeartbeatSends* sends) {
@@ -291,9 +295,8 @@
   for (const std::string& peer : m_table.Sample(m_random.get(), m_options.random_peers, targets)) {
     targets.push_back(peer);
   }
-  const size_t limit = SendLimit(m_table.Others().size() + 1);
   for (const std::string& target : targets) {
-    SendTo(target, m_builder.WithUpdates(m_queue.Take(m_options.max_updates, limit)), sends);
+    SendTo(target, m_builder.WithUpdates(m_queue.Take(m_options.max_updates)), sends);
   }
   for (const std::string& name : m_detector.Suspects()) {
     // Gives the suspect the chance to answer, and to learn of a monitor that it did not know.
@@ -343,11 +346,11 @@
   ++m_version;
   // What a full state holds is old news; others that lack it ask for a full state themselves.
   if (!full_state) {
-    // Heartbeats suffice for news that take nobody out of service and bring nobody back; a common
-    // start of 600 instances would otherwise forward 600 updates from each of them.
-    const bool is_well = update.state < wire::MemberState::Suspect;
-    m_queue.Add(UpdateKind::kMember, update.name,
-                was_well && is_well ? 0 : m_options.forward_rounds);
+    if (was_well && update.state < wire::MemberState::Suspect) {
+      m_queue.Add(UpdateKind::kMember, update.name, 0, kQuietSends);
+    } else {
+      Announce(UpdateKind::kMember, update.name);
+    }
   }
 }
 
--- a/src/membership/update_queue.h
+++ b/src/membership/update_queue.h
@@ -20,26 +20,27 @@
   std::string name;
   size_t sent = 0;            // Messages that carried it.
   size_t forward_rounds = 0;  // Forwarding rounds that it still takes part in.
+  size_t limit = 0;           // Messages after which it is dropped.
 };
 
 // Holds names only; contents are read when a message is built, so that it carries the newest state.
 class UpdateQueue {
  public:
   // Adds an update, or starts an earlier one for the same name again.
-  void Add(UpdateKind kind, const std::string& name, size_t forward_rounds) {
+  void Add(UpdateKind kind, const std::string& name, size_t forward_rounds, size_t limit) {
     for (QueuedUpdate& update : m_updates) {
       if (update.kind == kind && update.name == name) {
         update.sent = 0;
         update.forward_rounds = forward_rounds;
+        update.limit = limit;
         return;
       }
     }
-    m_updates.push_back(QueuedUpdate{kind, name, 0, forward_rounds});
+    m_updates.push_back(QueuedUpdate{kind, name, 0, forward_rounds, limit});
   }
 
-  // Up to `count` updates for one heartbeat; counts them as sent and drops those sent `limit`
-  // times.
-  std::vector<QueuedUpdate> Take(size_t count, size_t limit) {
+  // Up to `count` updates for one heartbeat; counts them as sent and drops those at their limit.
+  std::vector<QueuedUpdate> Take(size_t count) {
     Sort();
     const size_t taken = std::min(count, m_updates.size());
     const std::vector<QueuedUpdate> result(m_updates.begin(),
@@ -47,7 +48,7 @@
     for (size_t i = 0; i < taken; ++i) {
       ++m_updates[i].sent;
     }
-    DropSent(limit);
+    DropSent();
     return result;
   }
 
@@ -78,10 +79,11 @@
                      });
   }
 
-  void DropSent(size_t limit) {
+  void DropSent() {
     m_updates.erase(std::remove_if(m_updates.begin(), m_updates.end(),
-                                   [limit](const QueuedUpdate& update) {
-                                     return update.sent >= limit && update.forward_rounds == 0;
+                                   [](const QueuedUpdate& update) {
+                                     return update.sent >= update.limit &&
+                                            update.forward_rounds == 0;
                                    }),
                     m_updates.end());
   }
--- a/tests/fakes/member_network.h
+++ b/tests/fakes/member_network.h
@@ -39,6 +39,28 @@
     }
   }
 
+  // Makes every instance know all others, as after a long time without changes.
+  void Settle() {
+    DeliverList();
+    wire::HeartbeatT state;
+    state.full_state = true;
+    for (const Node& node : m_nodes) {
+      auto update = std::make_unique<wire::MemberUpdateT>();
+      update->name = node.name;
+      update->incarnation = static_cast<uint64_t>(m_wall_ms);
+      update->address = node.address;
+      update->admin_address = node.address;
+      update->failure_domain = node.failure_domain;
+      state.members.push_back(std::move(update));
+    }
+    state.incarnation = static_cast<uint64_t>(m_wall_ms);
+    for (size_t i = 0; i < m_nodes.size(); ++i) {
+      const std::string& from = m_nodes[i == 0 ? 1 : 0].name;
+      Post(m_nodes[i], m_nodes[i].membership->OnHeartbeat(from, state, At()));
+    }
+    Run(Milliseconds(15000));
+  }
+
   std::vector<ListedInstance> List(const std::vector<ListedInstance>& upstreams) const {
     std::vector<ListedInstance> list = upstreams;
     for (const Node& node : m_nodes) {
