--- a/src/serve/instance.cc
+++ b/src/serve/instance.cc
@@ -4,10 +4,12 @@
 #include "azuregw/serve/instance.h"
 
 #include <atomic>
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 
+#include "admin/refusals_json.h"
 #include "azuregw/admin/admin_server.h"
 #include "azuregw/base/listen_address.h"
 #include "azuregw/control/control_loop.h"
@@ -15,7 +17,9 @@
 #include "azuregw/kv/http_key_value_store.h"
 #include "azuregw/logging/log.h"
 #include "azuregw/metrics/metrics.h"
+#include "azuregw/orders/peer_claim_forwarder.h"
 #include "azuregw/supervisor/supervisor.h"
+#include "serve/peer_links.h"
 #include "serve/status_json.h"
 #include "serve/traffic.h"
 
@@ -37,6 +41,14 @@
   return reply;
 }
 
+// Takes events until the timeline is connected.
+class NullRecorder final : public EventRecorder {
+ public:
+  void Record(std::string_view /*component*/, std::string_view /*event*/,
+              std::string_view /*request_id*/, std::string_view /*detail*/,
+              ResultCode /*code*/) override {}
+};
+
 class RunningInstance final : public Instance {
  public:
   explicit RunningInstance(const Settings& settings)
@@ -53,11 +65,18 @@
     control.list = m_list.get();
     control.metrics = m_metrics.get();
     m_control = MakeControlLoop(MakeControlOptions(settings), control);
+    m_peers = std::make_unique<PeerLinks>(settings, m_control.get(), m_kv.get(), m_metrics.get());
     TrafficDependencies traffic;
     traffic.clock = &SystemClock();
     traffic.control = m_control.get();
     traffic.kv = m_kv.get();
     traffic.metrics = m_metrics.get();
+    traffic.events = &m_recorder;
+    traffic.refusals = m_peers->refusals();
+    traffic.make_forwarder = [this](OrderCommitter* committer) {
+      ServeClaims(m_peers->service(), committer, &SystemClock());
+      return MakePeerClaimForwarder(m_peers->service(), committer, &SystemClock());
+    };
     m_traffic = MakeTraffic(settings, traffic);
   }
 
@@ -75,8 +94,11 @@
     if (!admin) {
       return admin.error();
     }
-    // The peer transport listens here, before members are told its address.
-    m_addresses.peer = m_settings.peer.address;
+    const Result<void> peers = m_peers->Start();
+    if (!peers) {
+      return peers.error();
+    }
+    m_addresses.peer = m_peers->Address();
     const Result<void> traffic = m_traffic->Start();
     if (!traffic) {
       return traffic.error();
@@ -84,12 +106,14 @@
     m_addresses.caller = m_traffic->Address();
     m_supervisor->SetProblemHandler(
         [this](std::string problem) { m_control->OnComponents(std::move(problem)); });
+    for (Component* component : m_control->Components()) {
+      m_supervisor->Add(component, RestartOptions());
+    }
     // Components that can fail by themselves are added to the supervisor here.
     const Result<void> supervised = m_supervisor->Start(nullptr);
     if (!supervised) {
       return supervised.error();
     }
-    m_control->Start();
     m_started = true;
     return boost::outcome_v2::success();
   }
@@ -109,8 +133,8 @@
         m_traffic->FlushOrders(SystemClock().Now() + m_settings.orders.flush_limit);
     m_traffic->Stop();
     m_admin->Stop();
-    m_control->Stop();
     m_supervisor->Stop();
+    m_peers->Stop();
     return unwritten;
   }
 
@@ -130,11 +154,30 @@
       m_drain_asked = true;
       return JsonReply({{"instance", m_settings.instance.name}, {"draining", true}});
     });
+    m_admin->Register(
+        "GET", "/admin/refusals", [this](const AdminRequest& r) { return RefusalsReply(r); },
+        AdminServer::Execution::kWorker);
     const auto upstreams = [this](const AdminRequest& request) { return MarkUpstream(request); };
     m_admin->Register("POST", kUpstreamsPath, upstreams);
     m_admin->Register("DELETE", kUpstreamsPath, upstreams);
   }
 
+  // GET /admin/refusals[?hours=N]
+  AdminReply RefusalsReply(const AdminRequest& request) {
+    constexpr int64_t kDefaultHours = 24;
+    constexpr int64_t kMaxHours = 24 * 366;
+    const auto given = request.query.find("hours");
+    int64_t hours = kDefaultHours;
+    if (given != request.query.end()) {
+      hours = std::strtoll(given->second.c_str(), nullptr, 10);
+    }
+    if (hours < 1 || hours > kMaxHours) {
+      return MakeErrorReply(NotRun(ResultCode::kInvalidField, "hours: expected 1 to 8784"));
+    }
+    const Result<nlohmann::json> table = ReadRefusals(m_kv.get(), hours, SystemClock().WallMs());
+    return table ? JsonReply(table.value()) : MakeErrorReply(table.error());
+  }
+
   AdminReply ReadyReply() const {
     const Readiness readiness = m_control->CurrentReadiness();
     AdminReply reply = JsonReply({{"ready", readiness.ready},
@@ -170,11 +213,13 @@
   }
 
   const Settings m_settings;
+  NullRecorder m_recorder;
   std::unique_ptr<Metrics> m_metrics;
   std::unique_ptr<KeyValueStore> m_kv;
   std::unique_ptr<InstanceList> m_list;
   std::unique_ptr<Supervisor> m_supervisor;
   std::unique_ptr<ControlLoop> m_control;
+  std::unique_ptr<PeerLinks> m_peers;
   std::unique_ptr<Traffic> m_traffic;
   std::unique_ptr<AdminServer> m_admin;
   InstanceAddresses m_addresses;
