--- a/include/azuregw/peer/peer_service.h
+++ b/include/azuregw/peer/peer_service.h
@@ -21,7 +21,8 @@
 namespace azuregw {
 
 struct PeerServiceOptions {
-  // Address and incarnation are filled in by Start when they are empty and zero.
+  // Start fills in the bound address when it is empty or has port 0, and the incarnation from the
+  // wall clock when it is left at 1.
   MembershipOptions membership;
   PresetDistributionOptions distribution;
   uint64_t random_seed = 0;  // 0: from the system's entropy.
--- a/src/peer/peer_service.cc
+++ b/src/peer/peer_service.cc
@@ -21,6 +21,11 @@
 // Time after the start or a pause in which a higher revision of a peer is awaited.
 constexpr Milliseconds kPresetCatchUp{3000};
 
+// The kernel chooses the port; others must be told the chosen one.
+bool HasPortZero(const std::string& address) {
+  return address.size() >= 2 && address.compare(address.size() - 2, 2, ":0") == 0;
+}
+
 using AddressMap = std::map<std::string, std::string>;  // Name -> peer address.
 
 class PeerServiceImpl final : public PeerService {
@@ -102,7 +107,7 @@
     return started;
   }
   MembershipOptions membership = m_options.membership;
-  if (membership.address.empty()) {
+  if (membership.address.empty() || HasPortZero(membership.address)) {
     membership.address = m_dependencies.transport->ListenAddress();
   }
   if (membership.incarnation <= 1) {
--- a/src/peer/tcp_peer_transport.cc
+++ b/src/peer/tcp_peer_transport.cc
@@ -285,8 +285,11 @@
 
 void TcpPeerTransport::OnClosed(PeerConnection* connection, const Error& error) {
   if (error.code != ResultCode::kOk && !m_stopping) {
-    LogEvent(LogLevel::kWarning, kComponent, "peer_connection_closed", "", error.code,
-             connection->Remote() + ": " + error.message);
+    // An unreachable or silent peer is normal while it is replaced; other codes point to a fault.
+    const bool expected =
+        error.code == ResultCode::kPeerUnreachable || error.code == ResultCode::kPeerTimeout;
+    LogEvent(expected ? LogLevel::kDebug : LogLevel::kWarning, kComponent, "peer_connection_closed",
+             "", error.code, connection->Remote() + ": " + error.message);
     if (m_options.on_fault) {
       m_options.on_fault(error.code, connection->Remote());
     }
