--- a/src/orders/order_committer.cc
+++ b/src/orders/order_committer.cc
@@ -4,6 +4,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <cstdlib>
@@ -23,6 +24,10 @@
 // Period of the check for deadlines, lingers and back-offs.
 constexpr Milliseconds kTick{5};
 
+// Longest pause between two swaps of a shard. With more shards than it allows for, a second claim
+// in a shard would wait too long.
+constexpr Milliseconds kMaxSwapInterval{1000};
+
 StoreReply Execute(KeyValueStore* store, const StoreCall& call) {
   StoreReply reply;
   switch (call.kind) {
@@ -53,6 +58,8 @@
 
 class ThreadedCommitter final : public OrderCommitter {
  public:
+  using OrderCommitter::Configure;
+
   ThreadedCommitter(KeyValueStore* store, const Clock* clock, CommitterOptions options)
       : m_store(store), m_clock(clock), m_options(std::move(options)) {
     m_initial_shards = m_options.initial_shards;
@@ -164,6 +171,13 @@
     MakeReady(shard);
   }
 
+  BatcherOptions BatcherOptionsForLayout() const {
+    BatcherOptions options = m_options.batcher;
+    const Milliseconds interval(1000 * m_shards / std::max(1, m_options.max_swaps_per_s));
+    options.swap_interval = std::min(interval, kMaxSwapInterval);
+    return options;
+  }
+
   Slot* FindSlot(int shard) {
     const std::lock_guard<std::mutex> lock(m_mutex);
     std::unique_ptr<Slot>& slot = m_slots[shard];
@@ -365,6 +379,13 @@
 
 }  // namespace
 
+void OrderCommitter::Configure(const Snapshot& snapshot) {
+  if (snapshot.preset != nullptr) {
+    const OrderSpec& orders = snapshot.preset->orders;
+    Configure(orders.shards, Milliseconds(orders.retention).count());
+  }
+}
+
 std::unique_ptr<OrderCommitter> MakeOrderCommitter(KeyValueStore* store, const Clock* clock,
                                                    CommitterOptions options) {
   return std::make_unique<ThreadedCommitter>(store, clock, std::move(options));
