Connect the timeline and the planner; only two instances ask for the planner's lease

Cause: events went nowhere, engine orders were not sent, and an attempt for the lease every 3 s per instance would have made 200 calls/s on the key-value service with 600 instances.

--- a/src/cli/json_table.cc
+++ b/src/cli/json_table.cc
@@ -64,11 +64,12 @@
       events.push_back(event);
     }
   }
-  const auto time_of = [](const json& event) {
-    return event.is_object() && event.contains("time") ? event["time"] : json();
+  // The hybrid logical clock orders events by cause where wall clocks differ.
+  const auto stamp_of = [](const json& event) {
+    return event.is_object() && event.contains("hlc") ? event["hlc"] : json();
   };
   std::stable_sort(events.begin(), events.end(),
-                   [&time_of](const json& a, const json& b) { return time_of(a) < time_of(b); });
+                   [&stamp_of](const json& a, const json& b) { return stamp_of(a) < stamp_of(b); });
   return json(events);
 }
 
--- a/src/planner/planner_runner.cc
+++ b/src/planner/planner_runner.cc
@@ -2,6 +2,7 @@
 
 #include "azuregw/planner/planner_runner.h"
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
@@ -11,6 +12,7 @@
 #include <vector>
 
 #include "azuregw/base/random.h"
+#include "azuregw/base/rendezvous.h"
 #include "planner/planner_lease.h"
 
 namespace azuregw {
@@ -26,6 +28,24 @@
       .dump();
 }
 
+// Only a few instances ask for the lease, so that the calls on the key-value service do not grow
+// with the fleet.
+bool IsCandidate(const Snapshot& snapshot, const std::string& instance) {
+  constexpr size_t kCandidates = 2;
+  std::vector<std::string> names;
+  for (const MemberView& member : snapshot.members) {
+    if (!member.leaving) {
+      names.push_back(member.name);
+    }
+  }
+  if (names.empty()) {
+    return true;  // Members are not known yet.
+  }
+  const std::vector<size_t> top = RendezvousTop("planner", names, kCandidates);
+  return std::any_of(top.begin(), top.end(),
+                     [&](size_t index) { return names[index] == instance; });
+}
+
 // Replies of engines, which arrive on other threads.
 struct ReplyQueue {
   std::mutex mutex;
@@ -122,7 +142,8 @@
     Record("planner_lease_lost", "", ResultCode::kLeaseLapsed);
   }
   m_planner.OnLeaseLost();
-  if (m_dependencies.snapshots->Current()->draining || Now() < m_next_acquire) {
+  const std::shared_ptr<const Snapshot> snapshot = m_dependencies.snapshots->Current();
+  if (snapshot->draining || Now() < m_next_acquire || !IsCandidate(*snapshot, m_options.instance)) {
     return false;
   }
   m_next_acquire = Now() + m_options.acquire_interval;
--- a/src/serve/instance.cc
+++ b/src/serve/instance.cc
@@ -5,6 +5,8 @@
 
 #include <atomic>
 #include <cstdlib>
+#include <future>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
@@ -18,7 +20,10 @@
 #include "azuregw/logging/log.h"
 #include "azuregw/metrics/metrics.h"
 #include "azuregw/orders/peer_claim_forwarder.h"
+#include "azuregw/planner/planner_runner.h"
 #include "azuregw/supervisor/supervisor.h"
+#include "azuregw/timeline/event_ring.h"
+#include "azuregw/timeline/timeline_merge.h"
 #include "serve/peer_links.h"
 #include "serve/status_json.h"
 #include "serve/traffic.h"
@@ -26,6 +31,10 @@
 namespace azuregw {
 namespace {
 
+// Events kept per process; about 200 bytes each.
+constexpr size_t kTimelineEvents = 8192;
+constexpr size_t kTimelineReplyEvents = 5000;
+constexpr Milliseconds kTimelineTimeout{1000};
 constexpr const char* kUpstreamsPath = "/admin/upstreams/";
 
 ControlOptions MakeControlOptions(const Settings& settings) {
@@ -41,14 +50,6 @@
   return reply;
 }
 
-// Takes events until the timeline is connected.
-class NullRecorder final : public EventRecorder {
- public:
-  void Record(std::string_view /*component*/, std::string_view /*event*/,
-              std::string_view /*request_id*/, std::string_view /*detail*/,
-              ResultCode /*code*/) override {}
-};
-
 class RunningInstance final : public Instance {
  public:
   explicit RunningInstance(const Settings& settings)
@@ -64,20 +65,24 @@
     control.kv = m_kv.get();
     control.list = m_list.get();
     control.metrics = m_metrics.get();
+    control.events = &m_events;
     m_control = MakeControlLoop(MakeControlOptions(settings), control);
-    m_peers = std::make_unique<PeerLinks>(settings, m_control.get(), m_kv.get(), m_metrics.get());
+    m_peers = std::make_unique<PeerLinks>(settings, m_control.get(), m_kv.get(), m_metrics.get(),
+                                          &m_hybrid_clock);
+    ServeTimeline(m_peers->Service(), &m_events, settings.instance.name);
     TrafficDependencies traffic;
     traffic.clock = &SystemClock();
     traffic.control = m_control.get();
     traffic.kv = m_kv.get();
     traffic.metrics = m_metrics.get();
-    traffic.events = &m_recorder;
-    traffic.refusals = m_peers->refusals();
+    traffic.events = &m_events;
+    traffic.refusals = m_peers->Refusals();
     traffic.make_forwarder = [this](OrderCommitter* committer) {
-      ServeClaims(m_peers->service(), committer, &SystemClock());
-      return MakePeerClaimForwarder(m_peers->service(), committer, &SystemClock());
+      ServeClaims(m_peers->Service(), committer, &SystemClock());
+      return MakePeerClaimForwarder(m_peers->Service(), committer, &SystemClock());
     };
     m_traffic = MakeTraffic(settings, traffic);
+    m_planner = MakePlanner(settings);
   }
 
   ~RunningInstance() override { Stop(); }
@@ -114,6 +119,7 @@
     if (!supervised) {
       return supervised.error();
     }
+    m_planner->Start();
     m_started = true;
     return boost::outcome_v2::success();
   }
@@ -131,6 +137,7 @@
     }
     const int unwritten =
         m_traffic->FlushOrders(SystemClock().Now() + m_settings.orders.flush_limit);
+    m_planner->Stop();
     m_traffic->Stop();
     m_admin->Stop();
     m_supervisor->Stop();
@@ -154,6 +161,9 @@
       m_drain_asked = true;
       return JsonReply({{"instance", m_settings.instance.name}, {"draining", true}});
     });
+    m_admin->Register(
+        "GET", "/admin/timeline", [this](const AdminRequest& r) { return TimelineReply(r); },
+        AdminServer::Execution::kWorker);
     m_admin->Register(
         "GET", "/admin/refusals", [this](const AdminRequest& r) { return RefusalsReply(r); },
         AdminServer::Execution::kWorker);
@@ -162,6 +172,50 @@
     m_admin->Register("DELETE", kUpstreamsPath, upstreams);
   }
 
+  std::unique_ptr<PlannerRunner> MakePlanner(const Settings& settings) {
+    PlannerRunnerOptions options;
+    options.instance = settings.instance.name;
+    PlannerRunnerDependencies dependencies;
+    dependencies.kv = m_kv.get();
+    dependencies.engines = m_traffic->Engines();
+    dependencies.snapshots = m_control.get();
+    dependencies.clock = &SystemClock();
+    dependencies.events = &m_events;
+    return MakePlannerRunner(std::move(options), dependencies);
+  }
+
+  // GET /admin/timeline[?request_id=ID][&since_ms=T][&scope=all]: the events of this instance, or
+  // those of all instances that answer.
+  AdminReply TimelineReply(const AdminRequest& request) {
+    wire::TimelineRequestT wanted;
+    wanted.limit = kTimelineReplyEvents;
+    const auto id = request.query.find("request_id");
+    wanted.request_id = id == request.query.end() ? "" : id->second;
+    const auto since = request.query.find("since_ms");
+    if (since != request.query.end()) {
+      wanted.after_hlc = std::strtoull(since->second.c_str(), nullptr, 10) << 16;
+    }
+    const auto scope = request.query.find("scope");
+    const bool all = scope != request.query.end() && scope->second == "all";
+    AdminReply reply;
+    reply.body = TimelineToJson(all ? MergedOverPeers(wanted) : LocalTimeline(wanted));
+    return reply;
+  }
+
+  MergedTimeline LocalTimeline(const wire::TimelineRequestT& wanted) const {
+    TimelineMerge merge({m_settings.instance.name});
+    merge.Add(m_settings.instance.name, m_events.Answer(m_settings.instance.name, wanted));
+    return merge.Finish(wanted.limit);
+  }
+
+  MergedTimeline MergedOverPeers(const wire::TimelineRequestT& wanted) {
+    auto result = std::make_shared<std::promise<MergedTimeline>>();
+    FetchTimeline(m_peers->Service(), m_events, m_settings.instance.name,
+                  m_control->Current()->members, wanted, kTimelineTimeout,
+                  [result](MergedTimeline timeline) { result->set_value(std::move(timeline)); });
+    return result->get_future().get();
+  }
+
   // GET /admin/refusals[?hours=N]
   AdminReply RefusalsReply(const AdminRequest& request) {
     constexpr int64_t kDefaultHours = 24;
@@ -213,7 +267,8 @@
   }
 
   const Settings m_settings;
-  NullRecorder m_recorder;
+  HybridLogicalClock m_hybrid_clock{SystemClock()};
+  EventRing m_events{kTimelineEvents, SystemClock(), &m_hybrid_clock};
   std::unique_ptr<Metrics> m_metrics;
   std::unique_ptr<KeyValueStore> m_kv;
   std::unique_ptr<InstanceList> m_list;
@@ -221,6 +276,7 @@
   std::unique_ptr<ControlLoop> m_control;
   std::unique_ptr<PeerLinks> m_peers;
   std::unique_ptr<Traffic> m_traffic;
+  std::unique_ptr<PlannerRunner> m_planner;
   std::unique_ptr<AdminServer> m_admin;
   InstanceAddresses m_addresses;
   std::atomic<bool> m_drain_asked{false};
--- a/src/serve/peer_links.cc
+++ b/src/serve/peer_links.cc
@@ -10,10 +10,10 @@
 namespace azuregw {
 
 PeerLinks::PeerLinks(const Settings& settings, ControlLoop* control, KeyValueStore* kv,
-                     Metrics* metrics)
+                     Metrics* metrics, HybridLogicalClock* hybrid_clock)
     : m_address(settings.peer.address),
       m_incarnation(static_cast<uint64_t>(SystemClock().WallMs())),
-      m_hybrid_clock(SystemClock()) {
+      m_hybrid_clock(hybrid_clock) {
   TcpPeerOptions options;
   options.name = settings.instance.name;
   options.listen_address = settings.peer.address;
@@ -40,7 +40,7 @@
   PeerServiceDependencies dependencies;
   dependencies.transport = m_transport.get();
   dependencies.clock = &SystemClock();
-  dependencies.hybrid_clock = &m_hybrid_clock;
+  dependencies.hybrid_clock = m_hybrid_clock;
   dependencies.metrics = metrics;
   dependencies.post = [control](std::function<void()> task) { control->Post(std::move(task)); };
   dependencies.on_preset = [control](uint64_t revision, std::string document) {
--- a/src/serve/peer_links.h
+++ b/src/serve/peer_links.h
@@ -20,7 +20,8 @@
 class PeerLinks {
  public:
   // Connects itself to `control` (ControlLoop::SetPeers). The pointers outlive the links.
-  PeerLinks(const Settings& settings, ControlLoop* control, KeyValueStore* kv, Metrics* metrics);
+  PeerLinks(const Settings& settings, ControlLoop* control, KeyValueStore* kv, Metrics* metrics,
+            HybridLogicalClock* hybrid_clock);
 
   ~PeerLinks() { Stop(); }
   PeerLinks(const PeerLinks&) = delete;
@@ -32,9 +33,8 @@
   void Stop();
 
   std::string Address() const { return m_address; }
-  HybridLogicalClock* hybrid_clock() { return &m_hybrid_clock; }
-  PeerService* service() { return m_service.get(); }
-  RefusalRecorder* refusals() { return m_refusals->Recorder(); }
+  PeerService* Service() { return m_service.get(); }
+  RefusalRecorder* Refusals() { return m_refusals->Recorder(); }
 
  private:
   void MakeService(const Settings& settings, ControlLoop* control, Metrics* metrics);
@@ -43,7 +43,7 @@
   const std::string m_address;
   // Wall time of the start in ms; above that of every earlier process with this name.
   const uint64_t m_incarnation;
-  HybridLogicalClock m_hybrid_clock;
+  HybridLogicalClock* const m_hybrid_clock;
   std::unique_ptr<PeerTransport> m_transport;
   std::unique_ptr<PeerService> m_service;
   std::unique_ptr<RefusalService> m_refusals;
--- a/src/serve/traffic.cc
+++ b/src/serve/traffic.cc
@@ -65,6 +65,7 @@
   std::string Address() const override { return m_server->Address(); }
   void BeginDrain() override { m_server->BeginDrain(); }
   int InProgress() const override { return m_server ? m_server->InProgress() : 0; }
+  EngineClient* Engines() override { return m_engines.get(); }
   int FlushOrders(TimePoint deadline) override { return m_orders->Flush(deadline); }
 
   void Stop() override {
--- a/src/serve/traffic.h
+++ b/src/serve/traffic.h
@@ -46,6 +46,8 @@
   virtual int InProgress() const = 0;
   // Waits for recorded outcomes of orders to be written; returns the number still unwritten.
   virtual int FlushOrders(TimePoint deadline) = 0;
+  // For control duties that call engines; valid until the traffic is destroyed.
+  virtual EngineClient* Engines() = 0;
   // Closes the listener and all connections.
   virtual void Stop() = 0;
 };
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -260,13 +260,15 @@
 }
 
 bool Cluster::WaitReady(const Node& instance, milliseconds limit) {
-  return WaitUntil(
-      [&instance] {
-        return SendRequest("GET", instance.address, "/readyz", "", {}, milliseconds(500)).status ==
-                   200 ||
-               instance.process->Wait(milliseconds(0)).has_value();
+  bool ready = false;
+  WaitUntil(
+      [&instance, &ready] {
+        ready = SendRequest("GET", instance.address, "/readyz", "", {}, milliseconds(500)).status ==
+                200;
+        return ready || instance.process->Wait(milliseconds(0)).has_value();
       },
       limit);
+  return ready;
 }
 
 void Cluster::PublishList(const std::vector<std::string>& leaving) {
