--- a/include/azuregw/routing/prefix_cache_index.h
+++ b/include/azuregw/routing/prefix_cache_index.h
@@ -28,7 +28,6 @@
   explicit PrefixCacheIndex(size_t max_prefixes) : m_max_prefixes(max_prefixes) {}
 
   void OnEvents(uint32_t engine, const CacheEvents& events);
-  void Forget(uint32_t engine);
 
   // Appends engines that hold a prefix of the prompt, each once, longest prefixes first. Looks at a
   // bounded number of hashes and engines.
--- a/src/admission/admission_core.cc
+++ b/src/admission/admission_core.cc
@@ -16,9 +16,9 @@
 constexpr double kFadeMs = 500;  // Half-life of the first-result estimate without results.
 constexpr double kMinHintMs = 10;
 constexpr double kMaxHintMs = 60000;
-// A workspace may exceed its even share of max_inflight by this factor, because the load balancer
-// does not spread requests evenly.
-constexpr double kInflightSlack = 1.25;
+// A workspace may exceed its even share of max_inflight by this many standard deviations of what a
+// load balancer that spreads requests at random sends to one instance.
+constexpr double kInflightDeviations = 2;
 
 void Average(double sample, double* average) {
   *average = *average == 0 ? sample : *average + kSmoothing * (sample - *average);
@@ -32,7 +32,8 @@
   if (instances <= 1) {
     return max_inflight;
   }
-  return static_cast<int>(std::ceil(kInflightSlack * max_inflight / instances));
+  const double share = static_cast<double>(max_inflight) / instances;
+  return static_cast<int>(std::ceil(share + kInflightDeviations * std::sqrt(share)));
 }
 
 class Ticket final : public AdmissionTicket {
--- a/src/routing/prefix_cache_index.cc
+++ b/src/routing/prefix_cache_index.cc
@@ -17,6 +17,11 @@
 void PrefixCacheIndex::OnEvents(uint32_t engine, const CacheEvents& events) {
   const std::unique_lock<std::shared_mutex> lock(m_mutex);
   EngineCache& cache = m_engines[engine];
+  if (cache.seen && events.next < cache.next_id) {
+    // The engine counts from the start again: it was restarted and holds nothing.
+    ++cache.epoch;
+    cache.seen = false;
+  }
   for (const CacheEvent& event : events.events) {
     if (cache.seen && event.id < cache.next_id) {
       continue;  // Already applied.
@@ -41,14 +46,6 @@
   }
 }
 
-void PrefixCacheIndex::Forget(uint32_t engine) {
-  const std::unique_lock<std::shared_mutex> lock(m_mutex);
-  EngineCache& cache = m_engines[engine];
-  ++cache.epoch;
-  cache.seen = false;
-  cache.next_id = 0;
-}
-
 void PrefixCacheIndex::Find(gsl::span<const uint64_t> prefix_hashes,
                             std::vector<Match>* matches) const {
   const std::shared_lock<std::shared_mutex> lock(m_mutex);
--- a/tests/routing/prefix_cache_index_test.cc
+++ b/tests/routing/prefix_cache_index_test.cc
@@ -47,6 +47,15 @@
   BOOST_TEST(Find(index, {11}).empty());
 }
 
+// Guards against events of a restarted engine that are taken for old ones.
+BOOST_AUTO_TEST_CASE(restarted_engine_starts_empty) {
+  PrefixCacheIndex index(100);
+  index.OnEvents(1, {{{8, true, 88}, {9, true, 99}}, 10});
+  index.OnEvents(1, {{{1, true, 11}}, 2});
+  BOOST_TEST(Find(index, {99}).empty());
+  BOOST_TEST(Find(index, {11}).size() == 1u);
+}
+
 // Guards against memory that grows with the number of prompts.
 BOOST_AUTO_TEST_CASE(size_is_bounded) {
   PrefixCacheIndex index(100);
