--- a/include/azuregw/routing/selector_options.h
+++ b/include/azuregw/routing/selector_options.h
@@ -25,6 +25,7 @@
   bool use_reports = true;         // False: this instance's own sequences alone.
   bool use_ejection = true;
   bool use_slow_start = true;
+  bool use_leaving_marks = true;  // False: only the request's own snapshot counts.
   OutlierOptions outliers;
 };
 
--- a/src/routing/chain_search.cc
+++ b/src/routing/chain_search.cc
@@ -116,7 +116,7 @@
     for (int g = plan.first_group[boundary]; g < plan.first_group[boundary + 1]; ++g) {
       const RangeGroup& group = plan.groups[static_cast<size_t>(g)];
       for (const PlannedEngine& engine : group.engines) {
-        const bool usable = !engine.record->leaving.Leaving(now) &&
+        const bool usable = !(options.use_leaving_marks && engine.record->leaving.Leaving(now)) &&
                             !(options.use_ejection && engine.record->health.Ejected(now));
         if (!usable) {
           continue;
--- a/src/routing/chain_selector.cc
+++ b/src/routing/chain_selector.cc
@@ -191,7 +191,7 @@
   std::vector<Choice> healthy;
   std::vector<Choice> ejected;
   for (const PlannedEngine& engine : engines) {
-    if (engine.record->leaving.Leaving(now) ||
+    if ((m_options.use_leaving_marks && engine.record->leaving.Leaving(now)) ||
         std::find(excluded.begin(), excluded.end(), engine.spec->name) != excluded.end()) {
       continue;
     }
--- a/tests/routing/chain_selector_test.cc
+++ b/tests/routing/chain_selector_test.cc
@@ -93,6 +93,20 @@
   BOOST_TEST(Upstreams(selector.get(), listed, 100) == std::set<std::string>{names[3]});
 }
 
+// Shows that the case above depends on the marks: without them, an engine that refused because it
+// is leaving is chosen again.
+BOOST_AUTO_TEST_CASE(without_marks_leaving_engines_are_chosen) {
+  TestTopology topology(8);
+  const std::vector<std::string> names = topology.AddEngines({0, 8}, 4, "a100", "fd-a");
+  const Snapshot snapshot = topology.MakeSnapshot();
+  SelectorOptions options;
+  options.use_leaving_marks = false;
+  const auto selector = MakeChainSelector(MakeRandom(7), options);
+  Upstreams(selector.get(), snapshot, 1);
+  selector->OnStep(names[1], 0, ResultCode::kUpstreamLeaving, nullptr, kStart);
+  BOOST_TEST(Upstreams(selector.get(), snapshot, 100).count(names[1]) == 1u);
+}
+
 // Guards against a return under the same name that is never used again, and against a report that
 // was made before the refusal and cancels it.
 BOOST_AUTO_TEST_CASE(returned_engine_is_used_again) {
