--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <thread>
 #include <utility>
 
 #include "gateway/body_reader.h"
@@ -23,6 +24,8 @@
 
 constexpr int kPortAttempts = 20;
 constexpr Milliseconds kDrainRetryAfter{1000};
+// Requests that arrive while the listener closes are aborted this often.
+constexpr Milliseconds kAbortInterval{10};
 const char kServicesPrefix[] = "/v1/services/";
 
 enum class Route { kChat, kText, kModels, kService, kHealth, kReady, kNone };
@@ -127,8 +130,16 @@
     if (m_listener == nullptr) {
       return;
     }
+    // cpprestsdk waits for the answers to all requests when it closes a listener.
+    BeginDrain();
+    AbortOpen();
+    pplx::task<void> closing = m_listener->close();
+    while (!closing.is_done()) {
+      AbortOpen();
+      std::this_thread::sleep_for(kAbortInterval);
+    }
     try {
-      m_listener->close().get();
+      closing.get();
     } catch (const std::exception&) {
       // The listener is closed already.
     }
@@ -136,10 +147,18 @@
   }
 
  private:
+  void AbortOpen() {
+    for (const std::shared_ptr<Exchange>& exchange : m_context->open.All()) {
+      exchange->Abort();
+    }
+  }
+
   void Open(const std::string& address) {
     auto listener = std::make_unique<http_listener>("http://" + address);
     listener->support([context = m_context](const http::http_request& message) {
-      OnRequest(std::make_shared<Exchange>(context, message));
+      const auto exchange = std::make_shared<Exchange>(context, message);
+      context->open.Add(exchange);
+      OnRequest(exchange);
     });
     listener->open().get();
     m_listener = std::move(listener);
@@ -147,20 +166,20 @@
   }
 
   static void OnRequest(const std::shared_ptr<Exchange>& exchange) {
-    const std::string path = exchange->message().relative_uri().path();
+    const std::string path = exchange->Message().relative_uri().path();
     const Route route = FindRoute(path);
     if (route == Route::kHealth || route == Route::kReady) {
-      DiscardBody(exchange->message());
+      DiscardBody(exchange->Message());
       AnswerHealth(exchange, route);
       return;
     }
     if (const auto error = Check(exchange, route)) {
-      DiscardBody(exchange->message());
+      DiscardBody(exchange->Message());
       exchange->Refuse(*error);
       return;
     }
     const int64_t max_body = exchange->snapshot->preset->limits.max_body_bytes;
-    ReadBody(exchange->message(), max_body, [exchange, route, path](Result<std::string> body) {
+    ReadBody(exchange->Message(), max_body, [exchange, route, path](Result<std::string> body) {
       if (body) {
         Dispatch(exchange, route, path, std::move(body.value()));
       } else {
@@ -171,14 +190,14 @@
 
   // Everything that can be refused without the body. Sets the exchange's snapshot and workspace.
   static std::optional<Error> Check(const std::shared_ptr<Exchange>& exchange, Route route) {
-    const GatewayContext& context = exchange->context();
+    const GatewayContext& context = exchange->Context();
     if (route == Route::kNone) {
       return NotRun(ResultCode::kUnknownRoute, "no such path");
     }
-    if (!MethodAllowed(route, exchange->message().method())) {
+    if (!MethodAllowed(route, exchange->Message().method())) {
       return NotRun(ResultCode::kMethodNotAllowed, "the path does not allow this method");
     }
-    if (auto error = CheckHeaders(exchange->message().headers(), context.options)) {
+    if (auto error = CheckHeaders(exchange->Message().headers(), context.options)) {
       return error;
     }
     exchange->snapshot = context.dependencies.snapshots->Current();
@@ -222,13 +241,13 @@
 
   static void AnswerHealth(const std::shared_ptr<Exchange>& exchange, Route route) {
     std::optional<std::string> reason;
-    if (route == Route::kReady && exchange->dependencies().not_ready_reason) {
-      reason = exchange->dependencies().not_ready_reason();
+    if (route == Route::kReady && exchange->Dependencies().not_ready_reason) {
+      reason = exchange->Dependencies().not_ready_reason();
     }
     if (reason) {
       const Error error = NotRun(ResultCode::kNotReady, *reason);
       exchange->Answer(HttpStatus(error.code), "application/json",
-                       ErrorBody(error, exchange->request_id()));
+                       ErrorBody(error, exchange->RequestId()));
     } else {
       exchange->Answer(200, "text/plain", "ok\n");
     }
--- a/src/gateway/event_stream.cc
+++ b/src/gateway/event_stream.cc
@@ -29,6 +29,11 @@
     : m_exchange(std::move(exchange)), m_on_gone(std::move(on_gone)) {}
 
 void EventStream::Open() {
+  m_exchange->SetStreamAbort([weak = weak_from_this()] {
+    if (const auto stream = weak.lock()) {
+      stream->OnGone(ResultCode::kDraining);
+    }
+  });
   m_exchange->AnswerStream(m_buffer.create_istream(), [self = shared_from_this()](bool sent) {
     if (!sent) {
       self->OnGone(ResultCode::kCallerGone);
@@ -40,7 +45,7 @@
   if (m_gone) {
     return;
   }
-  if (m_buffer.in_avail() + event.size() > m_exchange->context().options.max_stream_buffer_bytes) {
+  if (m_buffer.in_avail() + event.size() > m_exchange->Context().options.max_stream_buffer_bytes) {
     OnGone(ResultCode::kCallerTooSlow);
     return;
   }
@@ -55,7 +60,7 @@
   }
   Ignore(m_buffer.close(std::ios_base::out));
   const std::weak_ptr<Exchange> weak = m_exchange;
-  m_exchange->context().timers->Schedule(std::chrono::steady_clock::now() + kFlushTimeout, [weak] {
+  m_exchange->Context().timers->Schedule(std::chrono::steady_clock::now() + kFlushTimeout, [weak] {
     if (const auto exchange = weak.lock()) {
       exchange->EndProgress();
     }
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -22,9 +22,11 @@
 // A refresh that nobody answers ends after this time; there may be no other instance.
 constexpr Milliseconds kRefreshLimit{6000};
 constexpr size_t kRefreshPeers = 3;
+constexpr size_t kRefreshAnswers = 2;
+constexpr Milliseconds kSecondAnswerLimit{1500};
 constexpr size_t kMaxFullStatesPerSecond = 5;
 // Each update is sent about this many times the logarithm of the number of members.
-constexpr size_t kSendsPerLog = 4;
+constexpr size_t kSendsPerLog = 2;
 
 size_t SendLimit(size_t members) {
   size_t log = 1;
@@ -132,8 +134,7 @@
     }
   }
   if (heartbeat.full_state) {
-    m_refreshing = false;
-    m_digest_differs_since.reset();
+    OnFullState(from, at.now);
   }
   const bool contradicts = NoteSender(from, heartbeat, at.now);
   const Member* sender = m_table.Find(from);
@@ -151,6 +152,16 @@
   return sends;
 }
 
+void MembershipImpl::OnFullState(const std::string& from, TimePoint now) {
+  m_digest_differs_since.reset();
+  m_refresh_answers.insert(from);
+  // One peer may itself have been cut off, so a second answer is awaited for a while.
+  const size_t wanted = std::min(kRefreshAnswers, m_table.Others().size());
+  if (m_refresh_answers.size() >= wanted || now - m_refresh_since > kSecondAnswerLimit) {
+    m_refreshing = false;
+  }
+}
+
 HeartbeatSends MembershipImpl::SetLeaving(Instant at) {
   HeartbeatSends sends;
   Member& self = m_table.Self();
@@ -252,6 +263,7 @@
 void MembershipImpl::StartRefresh(TimePoint now) {
   m_refreshing = true;
   m_refresh_since = now;
+  m_refresh_answers.clear();
   m_refresh_retry = now;
   // Silence during the pause is this instance's own.
   m_detector.Restart(now);
@@ -261,7 +273,8 @@
   if (!m_refreshing || at.now < m_refresh_retry) {
     return;
   }
-  if (at.now - m_refresh_since > kRefreshLimit) {
+  const bool answered = !m_refresh_answers.empty() && at.now - m_refresh_since > kSecondAnswerLimit;
+  if (answered || at.now - m_refresh_since > kRefreshLimit) {
     m_refreshing = false;
     return;
   }
@@ -323,8 +336,18 @@
     MergeUpdate(softened, false, now);
     return;
   }
-  if (m_table.Merge(update, now)) {
-    Announce(UpdateKind::kMember, update.name);
+  const bool was_well = known == nullptr || known->state < wire::MemberState::Suspect;
+  if (!m_table.Merge(update, now)) {
+    return;
+  }
+  ++m_version;
+  // What a full state holds is old news; others that lack it ask for a full state themselves.
+  if (!full_state) {
+    // Heartbeats suffice for news that take nobody out of service and bring nobody back; a common
+    // start of 600 instances would otherwise forward 600 updates from each of them.
+    const bool is_well = update.state < wire::MemberState::Suspect;
+    m_queue.Add(UpdateKind::kMember, update.name,
+                was_well && is_well ? 0 : m_options.forward_rounds);
   }
 }
 
--- a/src/pipeline/generation.cc
+++ b/src/pipeline/generation.cc
@@ -60,7 +60,7 @@
 }
 
 void PipelineGeneration::HandleOne(const SessionEvent& event) {
-  if (m_session.ended()) {
+  if (m_session.Ended()) {
     return;
   }
   if (const auto* gone = std::get_if<CallerGone>(&event)) {
@@ -72,7 +72,7 @@
   for (SessionAction& action : actions) {
     std::visit([this](auto& concrete) { Perform(std::move(concrete)); }, action);
   }
-  if (m_session.ended()) {
+  if (m_session.Ended()) {
     CleanUp();
   }
 }
@@ -137,6 +137,14 @@
       });
 }
 
+void PipelineGeneration::Perform(const ProbeEngine& action) {
+  m_context->dependencies.engines->FetchLoad(
+      action.address, [self = shared_from_this(), stage = action.stage,
+                       probe = action.probe](const Result<EngineLoad>& load) {
+        self->Post(ProbeDone{stage, probe, load.has_value()});
+      });
+}
+
 void PipelineGeneration::Perform(const ImportKv& action) {
   m_context->dependencies.engines->ImportKv(
       action.address, action.sequence, action.attempt, action.source,
