Read the cache event cursor as the last event's id

Engines answer cache events with `next` = id of the last event (the cursor for the next poll). The prefix index took it for one more than that, so that each poll without news looked like a restart and discarded what was known. Found by reading the engine fake; the tests now use the fake's form and include a poll without news.

--- a/bench/chain_selector_bench.cc
+++ b/bench/chain_selector_bench.cc
@@ -24,7 +24,7 @@
     selector->OnLoad(name, load, kStart);
     CacheEvents events;
     events.events = {{1, true, 100}, {2, true, 101 + static_cast<uint64_t>(i % 5)}};
-    events.next = 3;
+    events.next = 2;
     selector->OnCacheEvents(name, events);
   }
   return selector;
--- a/include/azuregw/routing/prefix_cache_index.h
+++ b/include/azuregw/routing/prefix_cache_index.h
@@ -41,7 +41,7 @@
     uint32_t epoch;  // Valid while it equals the engine's epoch.
   };
   struct EngineCache {
-    uint64_t next_id = 0;
+    uint64_t last_id = 0;  // Last event that was applied or is known to be lost.
     uint32_t epoch = 0;
     bool seen = false;
   };
--- a/src/routing/prefix_cache_index.cc
+++ b/src/routing/prefix_cache_index.cc
@@ -17,31 +17,32 @@
 void PrefixCacheIndex::OnEvents(uint32_t engine, const CacheEvents& events) {
   const std::unique_lock<std::shared_mutex> lock(m_mutex);
   EngineCache& cache = m_engines[engine];
-  if (cache.seen && events.next < cache.next_id) {
+  // `next` is the id of the last event that the engine had when it answered.
+  if (cache.seen && events.next < cache.last_id) {
     // The engine counts from the start again: it was restarted and holds nothing.
     ++cache.epoch;
     cache.seen = false;
   }
   for (const CacheEvent& event : events.events) {
-    if (cache.seen && event.id < cache.next_id) {
+    if (cache.seen && event.id <= cache.last_id) {
       continue;  // Already applied.
     }
-    if (cache.seen && event.id > cache.next_id) {
+    if (cache.seen && event.id > cache.last_id + 1) {
       ++cache.epoch;
     }
     cache.seen = true;
-    cache.next_id = event.id + 1;
+    cache.last_id = event.id;
     if (event.stored) {
       Store(engine, cache.epoch, event.prefix_hash);
     } else {
       Evict(engine, event.prefix_hash);
     }
   }
-  if (events.next > cache.next_id) {
+  if (!cache.seen || events.next > cache.last_id) {
     if (cache.seen) {
       ++cache.epoch;  // The engine is ahead of its last event here: events were lost.
     }
-    cache.next_id = events.next;
+    cache.last_id = events.next;
     cache.seen = true;
   }
 }
--- a/tests/routing/chain_selector_threads_test.cc
+++ b/tests/routing/chain_selector_threads_test.cc
@@ -32,7 +32,7 @@
       selector->OnStep(stage.upstream, 10.0, fails ? ResultCode::kUpstreamTimeout : ResultCode::kOk,
                        &load, now);
       selector->OnCacheEvents(stage.upstream, {{{static_cast<uint64_t>(i) + 1, true, 1}},
-                                               static_cast<uint64_t>(i) + 2});
+                                               static_cast<uint64_t>(i) + 1});
       selector->OnSequenceEnd(stage.upstream);
     }
     ++*complete;
--- a/tests/routing/fleet_simulation.cc
+++ b/tests/routing/fleet_simulation.cc
@@ -259,7 +259,7 @@
   }
   engine->cached.push_back(prefix);
   events.events.push_back({engine->next_cache_event++, true, prefix});
-  events.next = engine->next_cache_event;
+  events.next = engine->next_cache_event - 1;
   At(m_now + std::chrono::duration<double>(m_options.report_lag).count(), [this, name, events] {
     for (const auto& policy : m_policies) {
       policy->OnCacheEvents(name, events);
--- a/tests/routing/prefix_cache_index_test.cc
+++ b/tests/routing/prefix_cache_index_test.cc
@@ -19,8 +19,8 @@
 
 BOOST_AUTO_TEST_CASE(longest_prefix_per_engine) {
   PrefixCacheIndex index(100);
-  index.OnEvents(1, {{{1, true, 11}, {2, true, 22}, {3, true, 33}}, 4});
-  index.OnEvents(2, {{{1, true, 11}}, 2});
+  index.OnEvents(1, {{{1, true, 11}, {2, true, 22}, {3, true, 33}}, 3});
+  index.OnEvents(2, {{{1, true, 11}}, 1});
   const auto matches = Find(index, {11, 22, 44});
   BOOST_REQUIRE(matches.size() == 2u);
   BOOST_TEST(matches[0].engine == 1u);
@@ -31,10 +31,12 @@
 // Guards against affinity to a prefix whose eviction was lost in a gap, inside a batch or after it.
 BOOST_AUTO_TEST_CASE(gap_discards_what_was_known) {
   PrefixCacheIndex index(100);
-  index.OnEvents(1, {{{1, true, 11}, {2, true, 22}}, 3});
-  index.OnEvents(1, {{{5, true, 55}}, 6});
+  index.OnEvents(1, {{{1, true, 11}, {2, true, 22}}, 2});
+  index.OnEvents(1, {{{5, true, 55}}, 5});
   BOOST_TEST(Find(index, {11}).empty());
   BOOST_TEST(Find(index, {55}).size() == 1u);
+  index.OnEvents(1, {{}, 5});  // Nothing new: not a gap.
+  BOOST_TEST(Find(index, {55}).size() == 1u);
   index.OnEvents(1, {{}, 9});
   BOOST_TEST(Find(index, {55}).empty());
 }
@@ -42,16 +44,16 @@
 // Guards against a repeated or late batch that brings an evicted prefix back.
 BOOST_AUTO_TEST_CASE(old_events_are_ignored) {
   PrefixCacheIndex index(100);
-  index.OnEvents(1, {{{1, true, 11}, {2, false, 11}}, 3});
-  index.OnEvents(1, {{{1, true, 11}}, 3});
+  index.OnEvents(1, {{{1, true, 11}, {2, false, 11}}, 2});
+  index.OnEvents(1, {{{1, true, 11}}, 2});
   BOOST_TEST(Find(index, {11}).empty());
 }
 
 // Guards against events of a restarted engine that are taken for old ones.
 BOOST_AUTO_TEST_CASE(restarted_engine_starts_empty) {
   PrefixCacheIndex index(100);
-  index.OnEvents(1, {{{8, true, 88}, {9, true, 99}}, 10});
-  index.OnEvents(1, {{{1, true, 11}}, 2});
+  index.OnEvents(1, {{{8, true, 88}, {9, true, 99}}, 9});
+  index.OnEvents(1, {{{1, true, 11}}, 1});
   BOOST_TEST(Find(index, {99}).empty());
   BOOST_TEST(Find(index, {11}).size() == 1u);
 }
@@ -60,7 +62,7 @@
 BOOST_AUTO_TEST_CASE(size_is_bounded) {
   PrefixCacheIndex index(100);
   for (uint64_t i = 1; i <= 1000; ++i) {
-    index.OnEvents(1, {{{i, true, i}}, i + 1});
+    index.OnEvents(1, {{{i, true, i}}, i});
   }
   BOOST_TEST(index.size() == 100u);
   BOOST_TEST(Find(index, {1000}).size() == 1u);
