--- a/include/azuregw/routing/prefix_cache_index.h
+++ b/include/azuregw/routing/prefix_cache_index.h
@@ -28,7 +28,6 @@
   explicit PrefixCacheIndex(size_t max_prefixes) : m_max_prefixes(max_prefixes) {}
 
   void OnEvents(uint32_t engine, const CacheEvents& events);
-  void Forget(uint32_t engine);
 
   // Appends engines that hold a prefix of the prompt, each once, longest prefixes first. Looks at a
   // bounded number of hashes and engines.
@@ -42,7 +41,7 @@
     uint32_t epoch;  // Valid while it equals the engine's epoch.
   };
   struct EngineCache {
-    uint64_t next_id = 0;
+    uint64_t last_id = 0;  // Last event that was applied or is known to be lost.
     uint32_t epoch = 0;
     bool seen = false;
   };
