Bound the calls per source and report timeouts of the engine that caused them

A source that hangs takes at most 4 of the 8 calls to an engine. The selector learns of a timeout after the probe, for the engine that was silent, and no longer for the one that waited for it. Steps that time out before they are sent are known not to have run.

--- a/include/azuregw/engine/step_batcher.h
+++ b/include/azuregw/engine/step_batcher.h
@@ -6,18 +6,25 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <string>
 #include <vector>
 
 namespace azuregw {
 
 struct StepBatcherOptions {
-  // More than a few, so that calls that hang on one source leave room for the others.
   int max_inflight_batches = 8;
+  // Calls that hang on one source leave room for those with other sources.
+  int max_inflight_per_source = 4;
   size_t max_batch_steps = 256;
   size_t max_waiting_steps = 4096;
 };
 
+struct StepBatch {
+  std::vector<uint64_t> steps;
+  std::string source;  // Of all steps.
+};
+
 // Not thread-safe; the owner serialises calls.
 class StepBatcher {
  public:
@@ -34,9 +41,9 @@
 
   // The steps of the next call, in order of arrival, or none when no call may be sent now. The
   // owner reports the end of the call through OnBatchDone.
-  std::vector<uint64_t> NextBatch();
+  StepBatch NextBatch();
 
-  void OnBatchDone();
+  void OnBatchDone(const std::string& source);
 
   int InFlight() const { return m_inflight; }
   size_t WaitingCount() const { return m_waiting.size(); }
@@ -48,9 +55,12 @@
     std::string source;
   };
 
+  bool MayStart(const std::string& source) const;
+
   const StepBatcherOptions m_options;
-  std::deque<Waiting> m_waiting;  // In order of arrival.
-  int m_inflight = 0;             // 0 <= m_inflight <= max_inflight_batches.
+  std::deque<Waiting> m_waiting;            // In order of arrival.
+  std::map<std::string, int> m_per_source;  // Calls in flight; no entry is 0. Without source "".
+  int m_inflight = 0;                       // 0 <= m_inflight <= max_inflight_batches.
 };
 
 }  // namespace azuregw
--- a/include/azuregw/pipeline/pipeline_session.h
+++ b/include/azuregw/pipeline/pipeline_session.h
@@ -140,6 +140,7 @@
   void RenewUnansweredSequence(int index, const Error& error);
   void BeginProbe(int index);
   void FinishProbe();
+  void RepairAfterTimeout(int index, RepairKind kind);
   void CountRepair();
   void Select();
   void WaitBeforeRetry(bool select);
--- a/include/azuregw/pipeline/session_events.h
+++ b/include/azuregw/pipeline/session_events.h
@@ -140,15 +140,20 @@
   std::string old_upstream;
   std::string new_upstream;
 };
+// An engine caused a step to be late, as far as is known; other failures show in the steps'
+// results.
+struct ReportTimeout {
+  std::string upstream;
+};
 // A change for the timeline: "stage_failed", "stage_replaced", "kv_imported", "recomputed".
 struct RecordEvent {
   const char* event = "";
   std::string upstream;
   ResultCode code = ResultCode::kOk;
 };
-using SessionAction =
-    std::variant<SendStep, RaiseAttempt, ProbeEngine, ImportKv, SelectReplacement, EmitToken,
-                 EmitResumeToken, Cancel, Finish, Fail, ArmTimer, StageReplaced, RecordEvent>;
+using SessionAction = std::variant<SendStep, RaiseAttempt, ProbeEngine, ImportKv, SelectReplacement,
+                                   EmitToken, EmitResumeToken, Cancel, Finish, Fail, ArmTimer,
+                                   StageReplaced, ReportTimeout, RecordEvent>;
 
 }  // namespace azuregw
 
--- a/src/engine/engine_lane.cc
+++ b/src/engine/engine_lane.cc
@@ -39,8 +39,10 @@
   return std::move(results.value());
 }
 
-Error StepTimeout() {
-  return Unknown(ResultCode::kUpstreamTimeout, "the engine did not answer the step in time");
+Error StepTimeout(bool was_sent) {
+  return was_sent
+             ? Unknown(ResultCode::kUpstreamTimeout, "the engine did not answer the step in time")
+             : NotRun(ResultCode::kUpstreamTimeout, "the step waited too long to be sent");
 }
 
 }  // namespace
@@ -117,19 +119,19 @@
   std::vector<StepRequest> requests;
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    std::vector<uint64_t> steps = m_batcher.NextBatch();
-    if (steps.empty()) {
+    StepBatch batch = m_batcher.NextBatch();
+    if (batch.steps.empty()) {
       return false;
     }
     id = m_next_id++;
-    for (const uint64_t step : steps) {
+    for (const uint64_t step : batch.steps) {
       Pending& pending = m_pending.at(step);
       pending.call = id;
       requests.push_back(pending.request);
     }
     Call call;
-    call.unanswered = steps.size();
-    call.steps = std::move(steps);
+    call.unanswered = batch.steps.size();
+    call.batch = std::move(batch);
     m_calls.emplace(id, std::move(call));
   }
   Send(id, std::move(requests));
@@ -162,7 +164,8 @@
     if (found == m_calls.end()) {
       return;  // Abandoned after the timeout of its last step.
     }
-    const std::vector<uint64_t> steps = std::move(found->second.steps);
+    const StepBatch batch = std::move(found->second.batch);
+    const std::vector<uint64_t>& steps = batch.steps;
     std::vector<Result<StepResult>> results = ReadReply(reply, steps.size());
     for (size_t i = 0; i < steps.size(); ++i) {
       const auto pending = m_pending.find(steps[i]);
@@ -174,7 +177,7 @@
       m_pending.erase(pending);
     }
     m_calls.erase(found);
-    m_batcher.OnBatchDone();
+    m_batcher.OnBatchDone(batch.source);
   }
   for (auto& [pending, result] : answered) {
     pending.done(CheckEcho(pending.request, std::move(result)));
@@ -185,6 +188,7 @@
 void EngineLane::OnTimeout(uint64_t step) {
   StepDone done;
   std::shared_ptr<HttpCallHandle> hung;
+  bool was_sent = false;
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
     const auto found = m_pending.find(step);
@@ -194,19 +198,19 @@
     done = std::move(found->second.done);
     const uint64_t call_id = found->second.call;
     m_pending.erase(found);
-    m_batcher.Remove(step);
+    was_sent = !m_batcher.Remove(step);
     const auto call = m_calls.find(call_id);
     // A call all of whose steps are late gives its place to the steps behind it.
     if (call != m_calls.end() && --call->second.unanswered == 0) {
       hung = std::move(call->second.handle);
+      m_batcher.OnBatchDone(call->second.batch.source);
       m_calls.erase(call);
-      m_batcher.OnBatchDone();
     }
   }
   if (hung != nullptr) {
     hung->Abandon();
   }
-  done(StepTimeout());
+  done(StepTimeout(was_sent));
   Pump();
 }
 
--- a/src/engine/engine_lane.h
+++ b/src/engine/engine_lane.h
@@ -40,8 +40,8 @@
     uint64_t call = 0;  // 0 while the step waits.
   };
   struct Call {
-    std::vector<uint64_t> steps;  // In the order in which they were sent.
-    size_t unanswered = 0;        // Steps that have neither a result nor a timeout.
+    StepBatch batch;
+    size_t unanswered = 0;  // Steps that have neither a result nor a timeout.
     std::shared_ptr<HttpCallHandle> handle;
   };
 
--- a/src/engine/step_batcher.cc
+++ b/src/engine/step_batcher.cc
@@ -28,24 +28,37 @@
   return true;
 }
 
-std::vector<uint64_t> StepBatcher::NextBatch() {
-  std::vector<uint64_t> batch;
-  if (m_waiting.empty() || m_inflight >= m_options.max_inflight_batches) {
+bool StepBatcher::MayStart(const std::string& source) const {
+  const auto found = m_per_source.find(source);
+  return found == m_per_source.end() || found->second < m_options.max_inflight_per_source;
+}
+
+StepBatch StepBatcher::NextBatch() {
+  StepBatch batch;
+  if (m_inflight >= m_options.max_inflight_batches) {
+    return batch;
+  }
+  const auto first = std::find_if(m_waiting.begin(), m_waiting.end(),
+                                  [this](const Waiting& step) { return MayStart(step.source); });
+  if (first == m_waiting.end()) {
     return batch;
   }
   ++m_inflight;
-  if (m_waiting.front().alone) {
-    batch.push_back(m_waiting.front().step);
-    m_waiting.pop_front();
+  batch.source = first->source;
+  if (!batch.source.empty()) {
+    ++m_per_source[batch.source];
+  }
+  if (first->alone) {
+    batch.steps.push_back(first->step);
+    m_waiting.erase(first);
     return batch;
   }
-  // Decode steps behind a waiting prefill join this call; the prefill then stands at the front.
-  const std::string source = m_waiting.front().source;
+  // Decode steps behind a waiting prefill join this call; the prefill then stands before the rest.
   std::deque<Waiting> rest;
   for (Waiting& waiting : m_waiting) {
-    const bool joins = !waiting.alone && waiting.source == source;
-    if (joins && batch.size() < m_options.max_batch_steps) {
-      batch.push_back(waiting.step);
+    const bool joins = !waiting.alone && waiting.source == batch.source;
+    if (joins && batch.steps.size() < m_options.max_batch_steps) {
+      batch.steps.push_back(waiting.step);
     } else {
       rest.push_back(std::move(waiting));
     }
@@ -54,9 +67,13 @@
   return batch;
 }
 
-void StepBatcher::OnBatchDone() {
+void StepBatcher::OnBatchDone(const std::string& source) {
   assert(m_inflight > 0);
   --m_inflight;
+  const auto found = m_per_source.find(source);
+  if (found != m_per_source.end() && --found->second == 0) {
+    m_per_source.erase(found);
+  }
 }
 
 }  // namespace azuregw
--- a/src/pipeline/generation.cc
+++ b/src/pipeline/generation.cc
@@ -108,7 +108,10 @@
     Post(StepDone{stage, sent.sequence, sent.attempt, value});
     return;
   }
-  selector->OnStep(upstream, ms, result.error().code, nullptr, now);
+  // Whose fault a timeout is shows only after a probe; see ReportTimeout.
+  if (result.error().code != ResultCode::kUpstreamTimeout) {
+    selector->OnStep(upstream, ms, result.error().code, nullptr, now);
+  }
   if (result.error().code == ResultCode::kUpstreamLeaving) {
     NoteLeaving(upstream);
   }
@@ -224,6 +227,14 @@
   Occupy(action.stage, action.new_upstream);
 }
 
+void PipelineGeneration::Perform(const ReportTimeout& action) {
+  const double step_timeout_ms =
+      static_cast<double>(m_request.snapshot->preset->limits.step_timeout.count());
+  m_context->dependencies.selector->OnStep(action.upstream, step_timeout_ms,
+                                           ResultCode::kUpstreamTimeout, nullptr,
+                                           m_context->dependencies.clock->Now());
+}
+
 void PipelineGeneration::Perform(const RecordEvent& action) {
   const PipelineDependencies& dependencies = m_context->dependencies;
   const std::string event = action.event;
--- a/src/pipeline/generation.h
+++ b/src/pipeline/generation.h
@@ -53,6 +53,7 @@
   void Perform(const Fail& action);
   void Perform(const ArmTimer& action);
   void Perform(const StageReplaced& action);
+  void Perform(const ReportTimeout& action);
   void Perform(const RecordEvent& action);
 
   void OnStepResult(const StepRequest& sent, int stage, const std::string& upstream,
--- a/src/pipeline/session_repair.cc
+++ b/src/pipeline/session_repair.cc
@@ -104,21 +104,26 @@
 
 void PipelineSession::FinishProbe() {
   const int index = m_probe.stage;
-  const Error error = m_last_error;
+  const bool previous_silent = m_probe.asks_previous && !m_probe.previous_answered;
   if (!m_probe.stage_answered) {
-    BeginRepair(index, RepairKind::kRecompute, error);
+    RepairAfterTimeout(index, RepairKind::kRecompute);
     return;
   }
-  if (m_probe.asks_previous && !m_probe.previous_answered) {
-    BeginRepair(index - 1, RepairKind::kRecompute, error);
+  if (previous_silent) {
+    RepairAfterTimeout(index - 1, RepairKind::kRecompute);
     return;
   }
   // All answer: the engine is slow, a reply was lost, or the link between the engines is cut. The
   // stage moves first; when that does not help, the previous one is recomputed elsewhere.
   const bool move_previous = m_probe.asks_previous && m_timeouts++ % 2 == 1;
   const bool can_import = !move_previous && m_stages[index].done > 0;
-  BeginRepair(move_previous ? index - 1 : index,
-              can_import ? RepairKind::kImport : RepairKind::kRecompute, error);
+  RepairAfterTimeout(move_previous ? index - 1 : index,
+                     can_import ? RepairKind::kImport : RepairKind::kRecompute);
+}
+
+void PipelineSession::RepairAfterTimeout(int index, RepairKind kind) {
+  Add(ReportTimeout{m_stages[index].engine.upstream});
+  BeginRepair(index, kind, Error(m_last_error));
 }
 
 void PipelineSession::CountRepair() {
--- a/tests/pipeline/session_world.h
+++ b/tests/pipeline/session_world.h
@@ -106,6 +106,7 @@
   void Perform(const Fail& action);
   void Perform(const ArmTimer& action);
   void Perform(const StageReplaced&) {}
+  void Perform(const ReportTimeout&) {}
   void Perform(const RecordEvent&) { ++m_repairs; }
 
   void NoteLineage(int stage, const std::string& sequence);
