--- a/include/azuregw/pipeline/pipeline_runner.h
+++ b/include/azuregw/pipeline/pipeline_runner.h
@@ -26,6 +26,8 @@
   virtual ~AnswerSink() = default;
   // Replaces the token that the caller holds; precedes the next OnToken.
   virtual void OnResumeToken(const std::string& token) = 0;
+  // A stage was replaced or recomputed; the time until the next token is no sign of load.
+  virtual void OnRepair() {}
   virtual void OnToken(int position, const std::string& text, bool end) = 0;
   virtual void OnFinish(const Finish& finish) = 0;
   virtual void OnFail(const Error& error) = 0;
--- a/src/gateway/completion_handler.cc
+++ b/src/gateway/completion_handler.cc
@@ -19,7 +19,10 @@
  public:
   CompletionSink(std::shared_ptr<Exchange> exchange, AnswerHead head,
                  std::shared_ptr<AdmissionTicket> ticket)
-      : m_exchange(std::move(exchange)), m_head(std::move(head)), m_ticket(std::move(ticket)) {}
+      : m_exchange(std::move(exchange)),
+        m_head(std::move(head)),
+        m_ticket(std::move(ticket)),
+        m_admitted(m_exchange->Dependencies().clock->Now()) {}
 
   // Called after Start, whose sequence may have ended by then.
   void SetGeneration(std::shared_ptr<Generation> generation) {
@@ -34,6 +37,8 @@
     }
   }
 
+  void OnRepair() override { m_repaired = true; }
+
   void OnToken(int position, const std::string& text, bool end) override {
     const TimePoint now = m_exchange->Dependencies().clock->Now();
     const TimePoint since = m_first ? m_exchange->Start() : m_last_token;
@@ -87,13 +92,19 @@
  private:
   void OnFirstToken(TimePoint now) {
     m_first = false;
-    m_ticket->OnFirstResult(std::chrono::duration_cast<Milliseconds>(now - m_exchange->Start()));
+    // Without the wait for admission, which would make the limit react to its own queue, and
+    // without the time of repairs, which would lower the limit after each failure.
+    if (!m_repaired) {
+      m_ticket->OnFirstResult(std::chrono::duration_cast<Milliseconds>(now - m_admitted));
+    }
     m_exchange->Dependencies().events->Record("gateway", "first_token", m_exchange->RequestId(), "",
                                               ResultCode::kOk);
   }
 
   std::shared_ptr<AdmissionTicket> m_ticket;
+  const TimePoint m_admitted;
   bool m_first = true;
+  bool m_repaired = false;
   TimePoint m_last_token;
 
   std::mutex m_mutex;
--- a/src/gateway/service_handler.cc
+++ b/src/gateway/service_handler.cc
@@ -45,14 +45,16 @@
          const std::shared_ptr<AdmissionTicket>& ticket) {
   const GatewayDependencies& deps = exchange->Dependencies();
   deps.events->Record("gateway", "admitted", exchange->RequestId(), "", ResultCode::kOk);
+  const TimePoint admitted = deps.clock->Now();
   deps.orders->Run(
-      exchange->snapshot, std::move(call), [exchange, ticket](const Result<ServiceAnswer>& answer) {
+      exchange->snapshot, std::move(call),
+      [exchange, ticket, admitted](const Result<ServiceAnswer>& answer) {
         if (!answer) {
           exchange->Refuse(answer.error());
           return;
         }
         const TimePoint now = exchange->Dependencies().clock->Now();
-        ticket->OnFirstResult(std::chrono::duration_cast<Milliseconds>(now - exchange->Start()));
+        ticket->OnFirstResult(std::chrono::duration_cast<Milliseconds>(now - admitted));
         const ServiceReply& reply = answer.value().reply;
         exchange->CountOutcome("ok");
         exchange->Answer(reply.status, reply.content_type, reply.body);
--- a/src/pipeline/generation.cc
+++ b/src/pipeline/generation.cc
@@ -242,6 +242,7 @@
                               action.code);
   if (event == "kv_imported" || event == "recomputed") {
     dependencies.metrics->Add("azuregw_chain_repairs_total", "kind=\"" + event + "\"", 1);
+    m_sink->OnRepair();
   }
 }
 
