--- a/include/azuregw/control/control_loop.h
+++ b/include/azuregw/control/control_loop.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "azuregw/base/clock.h"
 #include "azuregw/base/result.h"
@@ -18,6 +19,7 @@
 #include "azuregw/discovery/instance_list.h"
 #include "azuregw/kv/key_value_store.h"
 #include "azuregw/metrics/metrics.h"
+#include "azuregw/supervisor/supervisor.h"
 #include "azuregw/timeline/event_recorder.h"
 
 namespace azuregw {
@@ -33,7 +35,10 @@
   std::string failure_domain;
   Milliseconds tick{100};
   Milliseconds pause_limit{1000};
-  Milliseconds list_interval{2000};
+  Milliseconds list_interval{2000};  // Of watchers; they pass on what the list says.
+  // Of other instances. The list of the target size is about 600 KB, so that reading it every 2 s
+  // would take 300 KB/s of the 2 KB/s allowed for control.
+  Milliseconds idle_list_interval{600000};
   // Limits how long a stop waits for a watch in progress; 5 watchers then make 2.5 calls/s.
   Milliseconds watch_wait{2000};
 };
@@ -56,6 +61,9 @@
   // Before Start.
   virtual void AddPauseListener(std::function<void()> listener) = 0;
 
+  // The threads of the loop, in the order of their start; owned by the loop. A supervisor starts
+  // and stops them, or Start and Stop do.
+  virtual std::vector<Component*> Components() = 0;
   virtual void Start() = 0;
   // Waits for the workers, at most for the call timeout and the watch's wait.
   virtual void Stop() = 0;
