--- a/tests/pipeline/session_world.h
+++ b/tests/pipeline/session_world.h
@@ -21,6 +21,8 @@
 
 namespace azuregw::testing {
 
+constexpr int kLayersPerStage = 2;
+
 enum class FaultKind {
   kCrash,           // The engine loses its state and refuses connections for a while.
   kFreeze,          // The engine answers nothing for a while, then goes on.
