--- a/bench/load/load_tool.cc
+++ b/bench/load/load_tool.cc
@@ -11,10 +11,12 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <thread>
 
 #include "bench/load/load_run.h"
 #include "bench/load/profile.h"
 #include "bench/load/report.h"
+#include "bench/load/usage.h"
 #include "tests/support/cluster.h"
 
 DEFINE_string(profile, "dathanna", "workload: dathanna or swanlink");
@@ -34,6 +36,14 @@
               "or two joined by +");
 DEFINE_double(fault_at, 6, "seconds from the start to the fault");
 DEFINE_int32(max_callers, 1500, "requests in flight at most");
+DEFINE_int32(idle_seconds, 0,
+             "no load: print what the idle instances use in this time, at most 300");
+DEFINE_int32(
+    listed_engines, 0,
+    "further engines of other models in the preset, at loopback addresses that refuse connections");
+DEFINE_int32(added_time_pairs, 0,
+             "no load: compare this many look-ups through an instance and directly, at most 5000");
+DEFINE_bool(usage, false, "print what the instances use per token under the load");
 DEFINE_string(out, "", "file for the result as JSON");
 
 namespace azuregw::load {
@@ -168,6 +178,35 @@
   return options;
 }
 
+json MeasureIdle(testing::Cluster* cluster) {
+  const int seconds = std::min(FLAGS_idle_seconds, kMaxSeconds);
+  // The first seconds belong to the preset and to membership.
+  std::this_thread::sleep_for(std::chrono::seconds(10));
+  const Usage before = ReadUsage(cluster);
+  std::this_thread::sleep_for(std::chrono::seconds(seconds));
+  return CompareUsage(before, ReadUsage(cluster), seconds);
+}
+
+// Tokens of all streams, the use of the instances over the run, and per stream the memory that
+// `middle` has over `before`.
+json MakeUsageReport(const LoadResult& result, const Usage& before, const Usage& middle,
+                     const Usage& after) {
+  json report = CompareUsage(before, after, result.duration_s);
+  int tokens = 0;
+  for (const CallerRecord& record : result.records) {
+    tokens += record.tokens;
+  }
+  report["tokens"] = tokens;
+  report["requests"] = result.records.size();
+  report["cpu_us_per_token"] = 1e6 * (after.cpu_s - before.cpu_s) / std::max(tokens, 1);
+  report["machine_loopback_B_per_token"] =
+      (after.loopback_bytes - before.loopback_bytes) / std::max(tokens, 1);
+  report["in_flight_in_the_middle"] = middle.in_flight;
+  report["resident_kb_per_stream"] =
+      (middle.resident_bytes - before.resident_bytes) / 1e3 / std::max(middle.in_flight, 1.0);
+  return report;
+}
+
 int Run() {
   const int seconds = std::min(FLAGS_seconds, kMaxSeconds);
   const testing::ClusterOptions options = MakeClusterOptions();
@@ -180,21 +219,44 @@
       {"fd-a", {{"fd-b", LinkMsBetween("fd-a", "fd-b")}, {"fd-c", LinkMsBetween("fd-a", "fd-c")}}},
       {"fd-b", {{"fd-c", LinkMsBetween("fd-b", "fd-c")}}}};
   SetLinkTimes(cluster.get());
-  cluster->UsePreset(preset);
+  AddListedEngines(FLAGS_listed_engines, &preset);
+  if (!cluster->UsePreset(preset)) {
+    return 1;
+  }
+  if (FLAGS_idle_seconds > 0) {
+    std::cout << MeasureIdle(cluster.get()).dump(1) << std::endl;
+    return 0;
+  }
+  if (FLAGS_added_time_pairs > 0) {
+    const int pairs = std::min(FLAGS_added_time_pairs, 5000);
+    std::cout << MeasureAddedTime(cluster.get(), pairs).dump(1) << std::endl;
+    return 0;
+  }
   const double bound = Bound(options.engines);
-  const std::vector<TimedAction> actions = MakeActions(cluster.get());
+  std::vector<TimedAction> actions = MakeActions(cluster.get());
+  const bool has_fault = !actions.empty();
+  Usage middle;
+  if (FLAGS_usage) {
+    actions.push_back({milliseconds(seconds * 500), "usage",
+                       [&middle, &cluster] { middle = ReadUsage(cluster.get()); }});
+  }
   const auto schedule = MakeSchedule(FindProfile(FLAGS_profile), bound * FLAGS_load,
                                      std::chrono::seconds(seconds), kWorkspaces, FLAGS_seed);
   std::cout << "profile " << FLAGS_profile << ", load " << FLAGS_load << ", seed " << FLAGS_seed
             << ", " << schedule.size() << " requests in " << seconds << " s, fault '" << FLAGS_fault
             << "'" << std::endl;
+  const Usage before = FLAGS_usage ? ReadUsage(cluster.get()) : Usage();
   const LoadResult result =
       RunLoad(cluster.get(), schedule, std::chrono::seconds(seconds), actions, FLAGS_max_callers);
+  if (FLAGS_usage) {
+    std::cout << MakeUsageReport(result, before, middle, ReadUsage(cluster.get())).dump(1)
+              << std::endl;
+  }
   ReportOptions report_options;
   report_options.bound_tokens_per_s = bound;
   report_options.end_s = seconds;
-  report_options.warmup_s = actions.empty() ? 2 : 1.5;
-  report_options.fault_s = actions.empty() ? -1 : FLAGS_fault_at;
+  report_options.warmup_s = has_fault ? 1.5 : 2;
+  report_options.fault_s = has_fault ? FLAGS_fault_at : -1;
   json report = MakeReport(result, report_options);
   report["profile"] = FLAGS_profile;
   report["load"] = FLAGS_load;
