--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -206,6 +206,13 @@
       error.retry_after = kDrainRetryAfter;
       return error;
     }
+    if (context.dependencies.snapshots->IsStale(context.dependencies.clock->Now())) {
+      // The process was paused; the preset may have changed meanwhile.
+      Error error =
+          NotRun(ResultCode::kNotReady, "this instance refreshes its state after a pause");
+      error.retry_after = kDrainRetryAfter;
+      return error;
+    }
     auto workspace = FindWorkspace(*exchange->snapshot->preset, exchange->Header("Authorization"));
     if (!workspace) {
       return workspace.error();
--- a/tests/failure/preset_test.cc
+++ b/tests/failure/preset_test.cc
@@ -155,6 +155,39 @@
   BOOST_TEST(WaitUntil([&] { return AllHave(cluster.get(), revision); }, seconds(10)));
 }
 
+// Guards against an instance that admits a request under an old preset right after a pause: a
+// caller that it still serves with the old preset would be told that its workspace is unknown or
+// known as before the change.
+BOOST_AUTO_TEST_CASE(paused_instance_admits_nothing_under_the_old_preset) {
+  const auto cluster = Cluster::Make(ClusterOptions());
+  BOOST_REQUIRE(cluster);
+  for (int round = 0; round < 5; ++round) {
+    json preset = cluster->preset();
+    preset["name"] = round % 2 == 0 ? "peak" : "ordinary";
+    if (round % 2 == 0) {
+      preset["workspaces"].erase("ws-1");
+    }
+    Process* paused = cluster->instances()[0].process.get();
+    paused->Stop();
+    BOOST_REQUIRE(cluster->UsePreset(preset));
+    std::this_thread::sleep_for(milliseconds(1500));
+    HttpResult result;
+    std::thread caller([&] {
+      result =
+          SendRequest("GET", cluster->instances()[0].address, "/v1/models", "", cluster->Auth(1));
+    });
+    std::this_thread::sleep_for(milliseconds(100));
+    paused->Continue();
+    caller.join();
+    const int right = round % 2 == 0 ? 401 : 200;
+    BOOST_TEST((result.status == right || result.status == 503),
+               "round " << round << " status " << result.status);
+    const uint64_t revision = RevisionInForce(*cluster);
+    BOOST_REQUIRE(WaitUntil([&] { return AllHave(cluster.get(), revision); }));
+    BOOST_REQUIRE(cluster->WaitReady(cluster->instances()[0]));
+  }
+}
+
 // Guards against an instance that serves callers under an old preset, or under none, after a start
 // during an outage.
 BOOST_AUTO_TEST_CASE(start_during_an_outage_learns_from_peers) {
