--- a/bench/load/usage.cc
+++ b/bench/load/usage.cc
@@ -97,6 +97,8 @@
     usage.in_flight += SumMetric(reply.body, "azuregw_inflight");
     usage.peer_bytes_sent += SumMetric(reply.body, "azuregw_peer_bytes_sent");
     usage.peer_bytes_received += SumMetric(reply.body, "azuregw_peer_bytes_received");
+    usage.max_preset_revision =
+        std::max(usage.max_preset_revision, SumMetric(reply.body, "azuregw_preset_revision"));
     usage.kv_calls += SumMetric(reply.body, "azuregw_kv_calls_total");
   }
   usage.loopback_bytes = ReadLoopbackBytes();
--- a/bench/load/usage.h
+++ b/bench/load/usage.h
@@ -22,6 +22,7 @@
   double peer_bytes_sent = 0;
   double peer_bytes_received = 0;
   double kv_calls = 0;
+  double max_preset_revision = 0;
   double loopback_bytes = 0;  // Of the whole machine, with all other programs.
   int instances = 0;
 };
--- a/tests/capacity/capacity_test.cc
+++ b/tests/capacity/capacity_test.cc
@@ -148,8 +148,12 @@
   const auto cluster = MakeIdleCluster(1);
   nlohmann::json preset = cluster->preset();
   load::AddListedEngines(kTargetEngines - static_cast<int>(cluster->engines().size()), &preset);
+  const double revision = load::ReadUsage(cluster.get()).max_preset_revision;
   BOOST_REQUIRE(cluster->UsePreset(preset));
-  std::this_thread::sleep_for(std::chrono::seconds(5));
+  BOOST_REQUIRE(testing::WaitUntil(
+      [&] { return load::ReadUsage(cluster.get()).max_preset_revision > revision; }));
+  // Lets what the change allocated for a short time be released.
+  std::this_thread::sleep_for(std::chrono::seconds(3));
   const load::Usage usage = load::ReadUsage(cluster.get());
   BOOST_TEST(usage.instances == 1);
   CheckAtMost("idle resident MB of an instance with 3,600 engines", usage.max_resident_bytes / 1e6,
