Let the last instance of a failure domain write its refusals when it stops

Cause: an instance that drains is marked as leaving, and leaving instances were never aggregators, so that the last instance of a failure domain had nobody to report to and its counts since the last minute were lost at a planned stop. Ruled out: the gateway (the refusals reached the ledger) and the table (the record was absent). Before: operations/refusals_survive_the_loss_of_an_instance found 0 of 7 refusals. After: 7 of 7. Conclusion: leaving instances aggregate when no others are left in the domain.

--- a/src/refusals/refusal_aggregator.cc
+++ b/src/refusals/refusal_aggregator.cc
@@ -24,11 +24,16 @@
 std::vector<std::string> RefusalAggregatorsOf(const std::string& failure_domain,
                                               const std::vector<MemberView>& members) {
   std::vector<std::string> names;
+  std::vector<std::string> leaving_names;
   for (const MemberView& member : members) {
-    if (member.failure_domain == failure_domain && !member.leaving) {
-      names.push_back(member.name);
+    if (member.failure_domain == failure_domain) {
+      (member.leaving ? leaving_names : names).push_back(member.name);
     }
   }
+  if (names.empty()) {
+    // The last instances of a failure domain write their own last reports while they stop.
+    names = std::move(leaving_names);
+  }
   std::vector<std::string> aggregators;
   for (const size_t i : RendezvousTop("refusals/" + failure_domain, names, kRefusalAggregators)) {
     aggregators.push_back(names[i]);
