Add baseline chain policies for comparison runs

Cause: the shipped policy has to be compared with random, round robin and least reported load against real processes. Ruled out: a setting of the shipped binary, because operators must not reach the baselines.

--- a/bench/load/load_tool.cc
+++ b/bench/load/load_tool.cc
@@ -30,6 +30,7 @@
 DEFINE_double(slow_link_ms, 10,
               "one-way time between fd-a and fd-c; the other links take a hundredth");
 DEFINE_uint64(seed, 1, "seed of the schedule");
+DEFINE_string(policy, "", "empty for the shipped policy, or random, round_robin, least_reported");
 DEFINE_string(fault, "",
               "none, stage_killed, stage_frozen, stage_slow, engine_joins, third_leaves, "
               "instance_killed, kv_down, "
@@ -175,6 +176,9 @@
   options.engines = MakeEngines();
   options.services = 3;
   options.workspaces = kWorkspaces;
+  if (!FLAGS_policy.empty()) {
+    options.instance_command = {AZUREGW_BASELINE_BINARY, "--policy=" + FLAGS_policy};
+  }
   return options;
 }
 
@@ -262,6 +266,7 @@
   report["load"] = FLAGS_load;
   report["seed"] = FLAGS_seed;
   report["fault"] = FLAGS_fault;
+  report["policy"] = FLAGS_policy;
   const std::string engine_problems = cluster->CheckEngineLogs();
   report["engine_log_problems"] = engine_problems;
   std::cout << FormatTable(report) << (engine_problems.empty() ? "" : engine_problems);
--- a/include/azuregw/serve/instance.h
+++ b/include/azuregw/serve/instance.h
@@ -3,11 +3,13 @@
 #ifndef AZUREGW_SERVE_INSTANCE_H_
 #define AZUREGW_SERVE_INSTANCE_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 
 #include "azuregw/base/result.h"
 #include "azuregw/config/settings.h"
+#include "azuregw/routing/chain_selector.h"
 
 namespace azuregw {
 
@@ -37,7 +39,13 @@
   virtual int Stop() = 0;
 };
 
-std::unique_ptr<Instance> MakeInstance(const Settings& settings);
+struct InstanceOptions {
+  // Replaces the chain selector; only benchmark programs set it, to compare policies.
+  std::function<std::unique_ptr<ChainSelector>()> make_selector;
+};
+
+std::unique_ptr<Instance> MakeInstance(const Settings& settings,
+                                       const InstanceOptions& options = InstanceOptions());
 
 }  // namespace azuregw
 
--- a/src/serve/instance.cc
+++ b/src/serve/instance.cc
@@ -52,7 +52,7 @@
 
 class RunningInstance final : public Instance {
  public:
-  explicit RunningInstance(const Settings& settings)
+  RunningInstance(const Settings& settings, const InstanceOptions& options)
       : m_settings(settings),
         m_metrics(MakeMetrics()),
         m_kv(MakeHttpKeyValueStore(settings.platform.kv_address, settings.platform.call_timeout,
@@ -77,6 +77,7 @@
     traffic.metrics = m_metrics.get();
     traffic.events = &m_events;
     traffic.refusals = m_peers->Refusals();
+    traffic.make_selector = options.make_selector;
     traffic.make_forwarder = [this](OrderCommitter* committer) {
       ServeClaims(m_peers->Service(), committer, &SystemClock());
       return MakePeerClaimForwarder(m_peers->Service(), committer, &SystemClock());
@@ -285,8 +286,8 @@
 
 }  // namespace
 
-std::unique_ptr<Instance> MakeInstance(const Settings& settings) {
-  return std::make_unique<RunningInstance>(settings);
+std::unique_ptr<Instance> MakeInstance(const Settings& settings, const InstanceOptions& options) {
+  return std::make_unique<RunningInstance>(settings, options);
 }
 
 }  // namespace azuregw
--- a/src/serve/serve.cc
+++ b/src/serve/serve.cc
@@ -74,7 +74,7 @@
 
 }  // namespace
 
-int RunServe(const Settings& settings) {
+int RunServe(const Settings& settings, const InstanceOptions& options) {
   mallopt(M_ARENA_MAX, kMaxMallocArenas);
   InitLogging({settings.instance.name, settings.instance.failure_domain}, settings.log.level);
   std::signal(SIGPIPE, SIG_IGN);
@@ -82,7 +82,7 @@
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   crossplat::threadpool::initialize_with_threads(static_cast<size_t>(settings.caller.threads));
 
-  const std::unique_ptr<Instance> instance = MakeInstance(settings);
+  const std::unique_ptr<Instance> instance = MakeInstance(settings, options);
   const Result<void> started = instance->Start();
   if (!started) {
     Log(LogLevel::kError, "start_failed", started.error().code, started.error().message);
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -252,6 +252,11 @@
   node.log_path = m_directory + "/" + node.name + ".log";
   const std::string settings = m_directory + "/" + node.name + ".toml";
   node.arguments = {AZUREGW_BINARY, "serve", "--config=" + settings};
+  if (!m_options.instance_command.empty()) {
+    const auto& command = m_options.instance_command;
+    node.arguments[0] = command.front();
+    node.arguments.insert(node.arguments.end(), command.begin() + 1, command.end());
+  }
   std::ofstream(settings) << SettingsOf(node);
   m_instances.push_back(std::move(node));
   PublishList();
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -38,6 +38,8 @@
   int step_timeout_ms = 1000;
   int workspaces = 2;  // Named ws-0, ws-1, ...; the key of ws-N is "key-ws-N".
   int order_shards = 16;
+  // Program and further flags of the instances; empty: azuregw.
+  std::vector<std::string> instance_command;
   std::string extra_settings;  // Appended to each instance's settings file.
 };
 
