--- a/src/cli/json_table.cc
+++ b/src/cli/json_table.cc
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cstdint>
+#include <cstdio>
+#include <ctime>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -54,6 +57,21 @@
   return FormatTable(header, cells);
 }
 
+namespace {
+
+// UTC in ISO 8601 with milliseconds.
+std::string FormatTime(int64_t wall_ms) {
+  const auto seconds = static_cast<std::time_t>(wall_ms / 1000);
+  std::tm utc{};
+  gmtime_r(&seconds, &utc);
+  char text[40];
+  const size_t length = std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &utc);
+  std::snprintf(text + length, sizeof(text) - length, ".%03dZ", static_cast<int>(wall_ms % 1000));
+  return text;
+}
+
+}  // namespace
+
 json MergeEvents(const std::vector<json>& documents) {
   std::vector<json> events;
   for (const json& document : documents) {
@@ -62,6 +80,9 @@
     }
     for (const json& event : document["events"]) {
       events.push_back(event);
+      if (event.is_object() && event.contains("time_ms")) {
+        events.back()["time"] = FormatTime(event["time_ms"].get<int64_t>());
+      }
     }
   }
   // The hybrid logical clock orders events by cause where wall clocks differ.
--- a/tests/cli/output_test.cc
+++ b/tests/cli/output_test.cc
@@ -33,14 +33,20 @@
   BOOST_TEST(JsonTable(rows, {"a", "b", "d"}) == "A  B\n1  x\n\n");
 }
 
-BOOST_AUTO_TEST_CASE(events_of_instances_are_merged_by_time) {
-  const json first = json::parse(R"({"events":[{"time":1,"event":"a"},{"time":4,"event":"d"}]})");
-  const json second = json::parse(R"({"events":[{"time":2,"event":"b"},{"time":3,"event":"c"}]})");
+// Guards against an order by wall clocks, which differ between instances: the clock of the second
+// one is ahead.
+BOOST_AUTO_TEST_CASE(events_of_instances_are_merged_by_hybrid_clock) {
+  const json first = json::parse(
+      R"({"events":[{"hlc":1,"time_ms":1000,"event":"a"},{"hlc":4,"time_ms":1004,"event":"d"}]})");
+  const json second = json::parse(
+      R"({"events":[{"hlc":2,"time_ms":9002,"event":"b"},{"hlc":3,"time_ms":9003,"event":"c"}]})");
+  const json merged = MergeEvents({first, second, json(7), json::object()});
   std::string order;
-  for (const json& event : MergeEvents({first, second, json(7), json::object()})) {
+  for (const json& event : merged) {
     order += event["event"].get<std::string>();
   }
   BOOST_TEST(order == "abcd");
+  BOOST_TEST(merged[1]["time"] == "1970-01-01T00:00:09.002Z");
 }
 
 // Guards against counting a silent instance, or one with a later revision wrongly.
