--- a/bench/load/load_tool.cc
+++ b/bench/load/load_tool.cc
@@ -15,6 +15,7 @@
 
 #include "bench/load/load_run.h"
 #include "bench/load/profile.h"
+#include "bench/load/repair_gaps.h"
 #include "bench/load/report.h"
 #include "bench/load/usage.h"
 #include "tests/support/cluster.h"
@@ -42,6 +43,8 @@
 DEFINE_int32(
     listed_engines, 0,
     "further engines of other models in the preset, at loopback addresses that refuse connections");
+DEFINE_int32(repair_gaps, 0,
+             "measure the gap of replaced stages with this many answers per kind instead");
 DEFINE_int32(added_time_pairs, 0,
              "no load: compare this many look-ups through an instance and directly, at most 5000");
 DEFINE_bool(usage, false, "print what the instances use per token under the load");
@@ -231,6 +234,11 @@
     std::cout << MeasureIdle(cluster.get()).dump(1) << std::endl;
     return 0;
   }
+  if (FLAGS_repair_gaps > 0) {
+    std::cout << MeasureRepairGaps(cluster.get(), std::min(FLAGS_repair_gaps, 200)).dump(1)
+              << std::endl;
+    return 0;
+  }
   if (FLAGS_added_time_pairs > 0) {
     const int pairs = std::min(FLAGS_added_time_pairs, 5000);
     std::cout << MeasureAddedTime(cluster.get(), pairs).dump(1) << std::endl;
--- a/include/azuregw/orders/order_committer.h
+++ b/include/azuregw/orders/order_committer.h
@@ -21,7 +21,7 @@
 struct CommitterOptions {
   BatcherOptions batcher;
   int threads = 4;
-  int initial_shards = 256;  // Used when no layout record exists.
+  int initial_shards = 64;  // Used when no layout record exists.
   // Swaps of all shards together, when all are busy. The store takes several hundred writes per
   // second; presets, refusals and the planner need the rest.
   int max_swaps_per_s = 200;
--- a/include/azuregw/preset/preset.h
+++ b/include/azuregw/preset/preset.h
@@ -82,7 +82,7 @@
 };
 
 struct OrderSpec {
-  int shards = 256;
+  int shards = 64;
   std::chrono::seconds retention{86400};
 };
 
--- a/src/serve/peer_links.cc
+++ b/src/serve/peer_links.cc
@@ -4,7 +4,6 @@
 
 #include <utility>
 
-#include "azuregw/logging/log.h"
 #include "azuregw/peer/tcp_peer_transport.h"
 
 namespace azuregw {
@@ -18,12 +17,6 @@
   options.name = settings.instance.name;
   options.listen_address = settings.peer.address;
   options.key = settings.peer.key;
-  options.on_fault = [](ResultCode code, const std::string& remote) {
-    // An unreachable peer is normal while it is replaced; the other codes point to a fault.
-    const bool expected = code == ResultCode::kPeerUnreachable || code == ResultCode::kPeerTimeout;
-    LogEvent(expected ? LogLevel::kDebug : LogLevel::kWarning, "peer", "connection_closed", "",
-             code, remote);
-  };
   m_transport = MakeTcpPeerTransport(std::move(options));
   MakeService(settings, control, metrics);
   MakeRefusals(settings, control, kv);
