Close the window in which a paused instance admits under the old preset

Cause: after a pause the control thread marked its tick as recent before it published that its state was stale, and ran queued tasks in between; a request in that window was admitted under the preset from before the pause.

Ruled out: the order of the service's reads (the preset is applied before the read counts as done).

--- a/src/control/control_loop.cc
+++ b/src/control/control_loop.cc
@@ -131,7 +131,7 @@
   std::shared_ptr<const Snapshot> Current() const override { return std::atomic_load(&m_snapshot); }
 
   bool IsStale(TimePoint now) const override {
-    return now - m_last_tick.load(std::memory_order_relaxed) > m_options.pause_limit ||
+    return now - m_last_tick.load(std::memory_order_acquire) > m_options.pause_limit ||
            Current()->refreshing;
   }
 
@@ -200,7 +200,11 @@
 
   void CheckPause(TimePoint now) {
     const bool paused = m_state.OnTick(now);
-    m_last_tick.store(now, std::memory_order_relaxed);
+    if (paused) {
+      // Published before the tick counts as recent: IsStale must not become false in between.
+      PublishState();
+    }
+    m_last_tick.store(now, std::memory_order_release);
     if (!paused) {
       return;
     }
--- a/src/gateway/caller_server.cc
+++ b/src/gateway/caller_server.cc
@@ -200,19 +200,20 @@
     if (auto error = CheckHeaders(exchange->Message().headers(), context.options)) {
       return error;
     }
-    exchange->snapshot = context.dependencies.snapshots->Current();
-    if (exchange->snapshot->preset == nullptr) {
-      Error error = NotRun(ResultCode::kNoPreset, "no preset is known yet");
-      error.retry_after = kDrainRetryAfter;
-      return error;
-    }
-    if (context.dependencies.snapshots->IsStale(context.dependencies.clock->Now())) {
+    const SnapshotSource& snapshots = *context.dependencies.snapshots;
+    if (snapshots.IsStale(context.dependencies.clock->Now())) {
       // The process was paused; the preset may have changed meanwhile.
       Error error =
           NotRun(ResultCode::kNotReady, "this instance refreshes its state after a pause");
       error.retry_after = kDrainRetryAfter;
       return error;
     }
+    exchange->snapshot = snapshots.Current();
+    if (exchange->snapshot->preset == nullptr) {
+      Error error = NotRun(ResultCode::kNoPreset, "no preset is known yet");
+      error.retry_after = kDrainRetryAfter;
+      return error;
+    }
     auto workspace = FindWorkspace(*exchange->snapshot->preset, exchange->Header("Authorization"));
     if (!workspace) {
       return workspace.error();
