--- a/src/cli/command_table.cc
+++ b/src/cli/command_table.cc
@@ -21,14 +21,16 @@
 DEFINE_uint64(timeout_ms, 30000, "longest wait, in ms; default 30000");
 DEFINE_uint64(hours, 24, "refusals: hours up to now; default 24");
 DEFINE_string(request, "", "only events of this request");
+DEFINE_uint64(since_ms, 0, "only events after this time, in ms since the Unix epoch");
 
 namespace azuregw {
 
 namespace {
 
 constexpr const char* kFlagNames[] = {
-    "config", "kv",     "list",           "admin",    "key_file",   "call_timeout_ms", "json",
-    "author", "expect", "expect_version", "revision", "timeout_ms", "request",         "hours"};
+    "config",          "kv",         "list",    "admin",    "key_file",
+    "call_timeout_ms", "json",       "author",  "expect",   "expect_version",
+    "revision",        "timeout_ms", "request", "since_ms", "hours"};
 
 }  // namespace
 
@@ -139,7 +141,7 @@
        0,
        0,
        "prints the events of all instances in order",
-       {"admin", "list", "config", "key_file", "call_timeout_ms", "json", "request"}},
+       {"admin", "list", "config", "key_file", "call_timeout_ms", "json", "request", "since_ms"}},
       {"config check", "FILE", 1, 1, "checks a settings file and reports every problem", {}},
       {"version", "", 0, 0, "prints the version", {}},
   };
--- a/src/cli/instance_commands.cc
+++ b/src/cli/instance_commands.cc
@@ -18,6 +18,7 @@
 
 DECLARE_bool(json);
 DECLARE_string(request);
+DECLARE_uint64(since_ms);
 DECLARE_uint64(hours);
 
 namespace azuregw {
@@ -153,9 +154,9 @@
   if (!targets) {
     return context.Fail(targets.error());
   }
-  std::string path = "/admin/timeline";
+  std::string path = "/admin/timeline?since_ms=" + std::to_string(FLAGS_since_ms);
   if (!FLAGS_request.empty()) {
-    path += "?request_id=" + FLAGS_request;
+    path += "&request_id=" + FLAGS_request;
   }
   const std::vector<AdminAnswer> answers = context.AskAll(targets.value(), "GET", path);
   WarnAboutSilent(answers);
