--- a/bench/load/load_tool.cc
+++ b/bench/load/load_tool.cc
@@ -267,7 +267,7 @@
   ReportOptions report_options;
   report_options.bound_tokens_per_s = bound;
   report_options.end_s = seconds;
-  report_options.warmup_s = has_fault ? 1.5 : 2;
+  report_options.warmup_s = has_fault ? FLAGS_fault_at / 2 : 2;
   report_options.fault_s = has_fault ? FLAGS_fault_at : -1;
   json report = MakeReport(result, report_options);
   report["profile"] = FLAGS_profile;
