Stop the peers before the traffic goes after a failed start

Cause: a claim from a peer that arrived between a failed start and the end of the process would have reached a committer that was already destroyed. Seen by reading; no run has shown it.

--- a/src/serve/instance.cc
+++ b/src/serve/instance.cc
@@ -86,7 +86,11 @@
     m_planner = MakePlanner(settings);
   }
 
-  ~RunningInstance() override { Stop(); }
+  ~RunningInstance() override {
+    Stop();
+    // After a failed start, peers may still send claims to the committer of the traffic.
+    m_peers->Stop();
+  }
 
   Result<void> Start() override {
     Result<std::string> admin_address = ChooseListenAddress(m_settings.admin.address);
