Use one function for UTC times in logs, refusals and the timeline

Cause: the time text of the timeline was written a third time beside those of the log lines and the refusal table. Ruled out: one full formatter, because the three need different fractions; they append these themselves. After: cli_tests 17 of 17, logging_tests 3 of 3, admin_tests 10 of 10 and the process tests of timeline and refusals pass, with the same expected texts; lint is clean on the changed files. Conclusion: behaviour is unchanged.

--- a/src/admin/refusals_json.cc
+++ b/src/admin/refusals_json.cc
@@ -2,11 +2,12 @@
 
 #include "admin/refusals_json.h"
 
-#include <ctime>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 
+#include "azuregw/base/utc_text.h"
+
 namespace azuregw {
 
 using nlohmann::json;
@@ -17,12 +18,8 @@
 
 // UTC, such as "2026-01-02T03:04Z".
 std::string MinuteText(int64_t minute) {
-  const std::time_t seconds = static_cast<std::time_t>(minute * 60);
-  std::tm parts = {};
-  gmtime_r(&seconds, &parts);
-  char text[32];
-  const size_t length = std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%MZ", &parts);
-  return std::string(text, length);
+  const std::string text = UtcSecondsText(minute * 60);
+  return text.substr(0, text.rfind(':')) + "Z";
 }
 
 }  // namespace
--- a/src/cli/json_table.cc
+++ b/src/cli/json_table.cc
@@ -6,10 +6,10 @@
 #include <cctype>
 #include <cstdint>
 #include <cstdio>
-#include <ctime>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "azuregw/base/utc_text.h"
 #include "cli/table.h"
 
 namespace azuregw {
@@ -61,13 +61,9 @@
 
 // UTC in ISO 8601 with milliseconds.
 std::string FormatTime(int64_t wall_ms) {
-  const auto seconds = static_cast<std::time_t>(wall_ms / 1000);
-  std::tm utc{};
-  gmtime_r(&seconds, &utc);
-  char text[40];
-  const size_t length = std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &utc);
-  std::snprintf(text + length, sizeof(text) - length, ".%03dZ", static_cast<int>(wall_ms % 1000));
-  return text;
+  char fraction[16];
+  std::snprintf(fraction, sizeof(fraction), ".%03dZ", static_cast<int>(wall_ms % 1000));
+  return UtcSecondsText(wall_ms / 1000) + fraction;
 }
 
 }  // namespace
--- a/src/logging/log.cc
+++ b/src/logging/log.cc
@@ -7,9 +7,10 @@
 
 #include <atomic>
 #include <cstdio>
-#include <ctime>
 #include <nlohmann/json.hpp>
 
+#include "azuregw/base/utc_text.h"
+
 namespace azuregw {
 namespace {
 
@@ -66,13 +67,9 @@
 
 // UTC with microseconds, such as "2026-01-02T03:04:05.000006Z".
 std::string TimeText(const google::LogMessageTime& time) {
-  const std::time_t seconds = static_cast<std::time_t>(time.timestamp());
-  std::tm parts = {};
-  gmtime_r(&seconds, &parts);
-  char text[40];
-  const size_t length = std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &parts);
-  std::snprintf(text + length, sizeof(text) - length, ".%06dZ", static_cast<int>(time.usec()));
-  return text;
+  char fraction[16];
+  std::snprintf(fraction, sizeof(fraction), ".%06dZ", static_cast<int>(time.usec()));
+  return UtcSecondsText(static_cast<int64_t>(time.timestamp())) + fraction;
 }
 
 class JsonSink final : public google::LogSink {
