Refuse late work while stopping; keep a connection until its exchange is gone

It now refuses streams from 2.9 s after the signal, with 503 not_run and a short Retry-After, and plain requests 1.5 s before the end. The connection is now kept until the exchange is destroyed. The process also ends without unwinding, because waiting handlers refer to parts that are destroyed first.

--- a/include/azuregw/forward/exchange.h
+++ b/include/azuregw/forward/exchange.h
@@ -4,6 +4,7 @@
 #define AZUREGW_FORWARD_EXCHANGE_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -40,6 +41,7 @@
   GatewaySettings settings;
   // As in PathQuery.
   int assumed_instances = 1;
+  std::optional<TimePoint> stopping_since;
 };
 
 struct IncomingRequest {
--- a/src/forward/caller_listener.cc
+++ b/src/forward/caller_listener.cc
@@ -313,8 +313,7 @@
       return;
     }
     char byte = 0;
-    const ssize_t count =
-        ::recv(self->m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const ssize_t count = ::recv(self->m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
       self->WatchForClose();
     } else if (count <= 0) {
@@ -436,9 +435,10 @@
 
 void CallerConnection::DropExchange() {
   if (m_exchange != nullptr) {
-    // The exchange may be among the callers of this function.
+    // The exchange may be among the callers of this function, and until it is destroyed its own
+    // events may still call this connection.
     std::shared_ptr<ForwardExchange> exchange = std::move(m_exchange);
-    asio::post(*m_io, [exchange] {});
+    asio::post(*m_io, [self = shared_from_this(), exchange]() mutable { exchange.reset(); });
   }
 }
 
--- a/src/forward/exchange_base.cc
+++ b/src/forward/exchange_base.cc
@@ -53,6 +53,22 @@
   return text;
 }
 
+// Streams that come later than this after a stop was asked for could not end within its grace. The
+// balancer has sent callers elsewhere by then, unless too few instances are left.
+constexpr Milliseconds kStreamsAfterStop{2900};
+// Plain requests are taken until this long before the end of the grace.
+constexpr Milliseconds kPlainBeforeEnd{1500};
+// Time to come back to another instance.
+constexpr Milliseconds kRetryElsewhere{50};
+
+bool TooLateForStop(const ForwardContext& context, bool stream) {
+  if (!context.stopping_since) {
+    return false;
+  }
+  const auto since = context.loop->Now() - *context.stopping_since;
+  return since > (stream ? kStreamsAfterStop : context.settings.stop_grace - kPlainBeforeEnd);
+}
+
 // Answers a request that needs no upstream.
 class ImmediateExchange final : public ForwardExchange {
  public:
@@ -213,17 +229,24 @@
   RouteMatch match;
   const RouteVerdict verdict = context->routes->Match(
       std::string_view(host.data(), host.size()), path, caller.key, context->loop->Now(), &match);
-  if (verdict == RouteVerdict::kMatched) {
-    return match.route->repeat == RepeatRule::kStream
-               ? MakeStreamExchange(context, std::move(request), std::move(caller),
-                                    std::move(match), responder)
-               : MakePlainExchange(context, std::move(request), std::move(caller), std::move(match),
-                                   responder);
+  const bool stream =
+      verdict == RouteVerdict::kMatched && match.route->repeat == RepeatRule::kStream;
+  const bool stopping = verdict == RouteVerdict::kMatched && TooLateForStop(*context, stream);
+  if (verdict == RouteVerdict::kMatched && !stopping) {
+    return stream ? MakeStreamExchange(context, std::move(request), std::move(caller),
+                                       std::move(match), responder)
+                  : MakePlainExchange(context, std::move(request), std::move(caller),
+                                      std::move(match), responder);
   }
   int status = 503;
   ResultCode code = ResultCode::kNotReady;
   std::string reason = "no configuration is known yet";
-  if (verdict == RouteVerdict::kStale) {
+  Milliseconds retry_after = kDefaultRetryAfter;
+  if (stopping) {
+    code = ResultCode::kDraining;
+    reason = "the instance is stopping";
+    retry_after = kRetryElsewhere;
+  } else if (verdict == RouteVerdict::kStale) {
     reason = "the configuration may be outdated, because the store cannot be reached";
   } else if (verdict == RouteVerdict::kNoRoute) {
     status = 404;
@@ -246,10 +269,9 @@
                       true);
   context->metrics->Add("azuregw_requests_total", "outcome=\"rejected\"", 1);
   return std::make_unique<ImmediateExchange>(
-      responder,
-      OwnReply(status, code, RunOutcome::kNotRun, reason, caller.id,
-               context->wire->RequestIdHeader(),
-               status == 503 ? std::optional<Milliseconds>(kDefaultRetryAfter) : std::nullopt));
+      responder, OwnReply(status, code, RunOutcome::kNotRun, reason, caller.id,
+                          context->wire->RequestIdHeader(),
+                          status == 503 ? std::optional<Milliseconds>(retry_after) : std::nullopt));
 }
 
 }  // namespace azuregw
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -6,6 +6,7 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <optional>
 #include <string>
 #include <utility>
@@ -80,6 +81,7 @@
     m_context.assumed_instances = kAssumedInstances;
   }
 
+  // Returns only if the instance could not start.
   int Run() {
     m_log->Write("start",
                  {{"callers", AddressText(m_context.settings.caller_address)},
@@ -117,7 +119,8 @@
     m_io.run();
     m_log->Write("stop", {{"connections", m_listener->Connections()}}, true);
     m_log->Flush();
-    return 0;
+    // Handlers that still wait in the loop refer to parts that unwinding would destroy first.
+    std::_Exit(0);
   }
 
  private:
@@ -219,6 +222,7 @@
         "stopping",
         {{"connections", m_listener->Connections()}, {"requests", m_listener->ActiveExchanges()}},
         true);
+    m_context.stopping_since = m_stop_asked;
     m_duty.Stop();
     m_listener->Drain();
     PollStop();
