Do not run the action of a timer that was destroyed after it expired

Cause: an expired Asio timer cannot be cancelled any more; its handler is queued with success. Timers now carry a token that expires with them, and callers' connections use these timers too, where a stale idle timer could close a connection that had just sent a request.

--- a/src/base/event_loop.cc
+++ b/src/base/event_loop.cc
@@ -14,14 +14,18 @@
  public:
   AsioTimer(boost::asio::io_context* context, Milliseconds delay, std::function<void()> action)
       : m_timer(*context, delay) {
-    m_timer.async_wait([action = std::move(action)](boost::system::error_code error) {
-      if (!error) {
+    m_timer.async_wait([action = std::move(action),
+                        alive = std::weak_ptr<int>(m_alive)](boost::system::error_code error) {
+      // An expired timer can no longer be cancelled: its handler may wait behind the one that
+      // destroys it.
+      if (!error && !alive.expired()) {
         action();
       }
     });
   }
 
  private:
+  std::shared_ptr<int> m_alive = std::make_shared<int>(0);  // Expires with the timer.
   boost::asio::steady_timer m_timer;
 };
 
--- a/src/forward/caller_listener.cc
+++ b/src/forward/caller_listener.cc
@@ -97,7 +97,7 @@
   tcp::socket m_socket;
   beast::flat_buffer m_buffer;
   std::optional<http::request_parser<http::string_body>> m_parser;
-  asio::steady_timer m_timer;
+  std::unique_ptr<Timer> m_timer;  // Of the caller's pace; not set while a request is answered.
   std::unique_ptr<ForwardExchange> m_exchange;  // Set while a request is being answered.
   bool m_keep_alive = false;
   bool m_head_request = false;
@@ -193,21 +193,15 @@
 
 CallerConnection::CallerConnection(BeastListener* listener, ForwardContext* context,
                                    asio::io_context* io, tcp::socket socket)
-    : m_listener(listener),
-      m_context(context),
-      m_io(io),
-      m_socket(std::move(socket)),
-      m_timer(*io) {
+    : m_listener(listener), m_context(context), m_io(io), m_socket(std::move(socket)) {
   m_listener->Add(this);
 }
 
 CallerConnection::~CallerConnection() { m_listener->Remove(this); }
 
 void CallerConnection::Expire(Milliseconds delay) {
-  m_timer.expires_after(delay);
-  m_timer.async_wait([self = weak_from_this()](error_code error) {
-    const auto connection = self.lock();
-    if (!error && connection != nullptr) {
+  m_timer = m_context->loop->After(delay, [self = weak_from_this()] {
+    if (const auto connection = self.lock()) {
       connection->Close();
     }
   });
@@ -293,7 +287,7 @@
 }
 
 void CallerConnection::Dispatch() {
-  m_timer.cancel();
+  m_timer.reset();
   m_keep_alive = m_parser->keep_alive();
   m_head_request = m_parser->get().method() == http::verb::head;
   IncomingRequest request{m_parser->release(), m_context->loop->Now()};
@@ -453,7 +447,7 @@
     return;
   }
   m_closed = true;
-  m_timer.cancel();
+  m_timer.reset();
   const std::shared_ptr<CallerConnection> keep = std::move(m_pipelined);
   error_code ignored;  // The connection is given up either way.
   m_socket.close(ignored);
