--- a/include/azuregw/fleet/fleet.h
+++ b/include/azuregw/fleet/fleet.h
@@ -45,11 +45,12 @@
 struct Upstream {
   UpstreamRecord record;
   UpstreamLoad own;
-  UpstreamLoad others;      // Reported by the other instances.
-  TimePoint last_progress;  // Last bytes of an answer in which it took part.
-  TimePoint suspect_until;  // Gets no new work before this.
-  int failures = 0;         // Consecutive failures of calls.
-  int reported_load = 0;    // Running and waiting requests by its own account.
+  UpstreamLoad others;          // Reported by the other instances.
+  TimePoint last_progress;      // Last bytes of an answer in which it took part.
+  TimePoint suspect_until;      // Gets no new work before this.
+  TimePoint own_suspect_until;  // The same, by what this instance found itself.
+  int failures = 0;             // Consecutive failures of calls.
+  int reported_load = 0;        // Running and waiting requests by its own account.
   TimePoint reported_at;
   bool told_full = false;  // It refused work since it was last seen to accept some.
 
@@ -76,6 +77,8 @@
 
   // `id` gets no new work for `duration`. Returns whether this is news.
   bool Suspect(const std::string& id, Milliseconds duration, TimePoint now);
+  // The same by the report of another instance, which is not passed on.
+  void SuspectByReport(const std::string& id, Milliseconds duration, TimePoint now);
   void Reserve(const std::string& id, double token_layers);
   void Release(const std::string& id, double token_layers);
   void SetOthers(const std::unordered_map<std::string, UpstreamLoad>& loads);
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -33,6 +33,7 @@
       if (old.started_ms != record.started_ms) {
         changes.push_back({FleetChange::Kind::kRestarted, record.id, ""});
         upstream.suspect_until = TimePoint();
+        upstream.own_suspect_until = TimePoint();
         upstream.failures = 0;
       }
       if (old.draining != record.draining) {
@@ -75,9 +76,16 @@
   }
   const bool news = now >= upstream->suspect_until;
   upstream->suspect_until = std::max(upstream->suspect_until, now + duration);
+  upstream->own_suspect_until = std::max(upstream->own_suspect_until, now + duration);
   return news;
 }
 
+void Fleet::SuspectByReport(const std::string& id, Milliseconds duration, TimePoint now) {
+  if (Upstream* const upstream = Find(id)) {
+    upstream->suspect_until = std::max(upstream->suspect_until, now + duration);
+  }
+}
+
 void Fleet::Reserve(const std::string& id, double token_layers) {
   if (Upstream* const upstream = Find(id)) {
     upstream->own.token_layers += token_layers;
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -17,6 +17,7 @@
 #include "azuregw/placement/duty_lease.h"
 #include "azuregw/placement/layout_runner.h"
 #include "azuregw/sync/config_watcher.h"
+#include "azuregw/sync/load_exchange.h"
 #include "azuregw/sync/upstream_lister.h"
 
 namespace azuregw {
@@ -109,11 +110,18 @@
       // Traffic matters more than its figures.
       m_log->Write("metrics_unavailable", {{"reason", metrics.error().message}}, true);
     }
+    auto load =
+        MakeLoadExchange(&m_io, m_loop.get(), m_context.settings, &m_duty, &m_fleet, m_log.get());
+    if (!load) {
+      return Fatal(load.error());
+    }
+    m_load = std::move(load.value());
     m_lister.SetListener([this] { m_queue.StartSome(m_loop->Now()); });
     m_config_watcher.Start();
     m_lister.Start();
     m_duty.Start();
     m_layout.Start();
+    m_load->Start();
     WaitForSignal();
     TickQueue();
     m_io.run();
@@ -180,6 +188,12 @@
 
   void TickQueue() {
     m_queue_timer = m_loop->After(kQueueTick, [this] {
+      const std::optional<int> instances = m_load->Instances();
+      m_context.assumed_instances = instances ? 0 : m_last_instances;
+      if (instances && *instances != m_last_instances) {
+        m_last_instances = *instances;
+        m_budget.SetInstances(m_last_instances);
+      }
       if (m_queue.Size() > 0) {
         m_queue.StartSome(m_loop->Now());
       }
@@ -261,6 +275,8 @@
   std::unique_ptr<StatusServer> m_metrics_server;
   std::unique_ptr<Timer> m_queue_timer;
   std::unique_ptr<Timer> m_stop_timer;
+  std::unique_ptr<LoadExchange> m_load;
+  int m_last_instances = kAssumedInstances;  // As last known.
   bool m_stopping = false;
   bool m_was_ready = false;
   TimePoint m_stop_asked;
