Find stopped engines by the pace of their streams and change paths in place

Cause: an engine that stops silences every stream on it, and the 350 ms silence limit plus a report 200 ms behind moved streams only after the 200 ms pause that callers accept. A monitor now compares the streams of an instance: engines whose streams are all silent while others go on are asked at once (70 ms limit); if they do not answer, their streams leave them, by changing the path of the running request where the first engine stays, else by a resume. The pace of streams also gives each engine a slowdown that its cost is multiplied with.

--- a/include/azuregw/fleet/fleet.h
+++ b/include/azuregw/fleet/fleet.h
@@ -52,7 +52,8 @@
   int failures = 0;             // Consecutive failures of calls.
   int reported_load = 0;        // Running and waiting requests by its own account.
   TimePoint reported_at;
-  bool told_full = false;  // It refused work since it was last seen to accept some.
+  double slowdown = 1;       // Factor on the time of its work, by the pace of own streams.
+  TimePoint slowdown_until;  // Evidence is renewed as long as there is work to judge by.
 
   bool Usable(TimePoint now) const { return !record.draining && now >= suspect_until; }
 };
@@ -70,6 +71,9 @@
   // The platform promises that live upstreams are listed again within about 2 s.
   static constexpr Milliseconds kRelistGrace{2000};
 
+  // A slow engine is tried again with new streams after this time without any.
+  static constexpr Milliseconds kSlowdownLife{1500};
+
   // Replaces the list. `after_outage` says that the previous list is from before an outage of the
   // store; entries missing from this list are then kept until the grace has passed.
   std::vector<FleetChange> Update(std::vector<UpstreamRecord> records, bool after_outage,
@@ -83,6 +87,8 @@
   void Release(const std::string& id, double token_layers);
   void SetOthers(const std::unordered_map<std::string, UpstreamLoad>& loads);
   void OnProgress(const std::string& id, TimePoint now);
+  // `factor` holds until evidence is older than kSlowdownLife.
+  void OnPace(const std::string& id, double factor, TimePoint now);
   void OnReportedLoad(const std::string& id, int load, TimePoint now);
 
   Upstream* Find(const std::string& id);
--- a/include/azuregw/fleet/path_selector.h
+++ b/include/azuregw/fleet/path_selector.h
@@ -39,7 +39,9 @@
   double tokens = 0;               // Prompt and expected answer.
   std::string failure_domain;      // Where the request enters; preferred for the first engine.
   std::set<std::string> excluded;  // Ids not to use.
-  double max_load = 1;             // Engines that would be fuller than this are left out.
+  // The path begins with this hop, which keeps its memory.
+  std::optional<PathHop> first;
+  double max_load = 1;  // Engines that would be fuller than this are left out.
   TimePoint now;
   // Factor on this instance's own load where the load of the others is not known; 0 when it is.
   int assumed_instances = 0;
--- /dev/null
+++ b/include/azuregw/fleet/stream_monitor.h
@@ -0,0 +1,69 @@
+// Finds engines that stopped or turned slow from the pace of the streams that pass through them.
+//
+// Decision module: no I/O. It answers the loss of an engine that many streams share: all of them
+// fall silent at once while others go on, which tells the engine long before any time-out. Streams
+// that are moved within the pause that callers accept lose nothing. When every stream is silent, or
+// this process did not run, nothing is concluded.
+
+#ifndef AZUREGW_FLEET_STREAM_MONITOR_H_
+#define AZUREGW_FLEET_STREAM_MONITOR_H_
+
+#include <gsl/span>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "azuregw/base/clock.h"
+
+namespace azuregw {
+
+// A stream that can be moved away from engines.
+class MonitoredStream {
+ public:
+  virtual ~MonitoredStream() = default;
+  // Leaves an engine that stopped, if it can.
+  virtual void LeaveEngine(const std::string& engine) = 0;
+};
+
+class StreamMonitor {
+ public:
+  using Key = MonitoredStream*;
+
+  // Between two calls of Tick(). A longer gap means that this process was held up.
+  static constexpr Milliseconds kTick{20};
+
+  struct Findings {
+    // Engines whose streams all fell silent while others went on; they may have stopped.
+    std::set<std::string> silent;
+    std::map<std::string, double> slowdowns;  // Of all engines with evidence; 1 is usual.
+  };
+
+  // `cost_ms`: expected time of one token.
+  void Begin(Key stream, gsl::span<const std::string> engines, double cost_ms, TimePoint now);
+  void OnEvent(Key stream, TimePoint now);
+  void End(Key stream) { m_streams.erase(stream); }
+  Findings Tick(TimePoint now);
+  // Streams that pass through an engine.
+  std::vector<Key> StreamsOf(const std::string& engine) const;
+
+ private:
+  struct Stream {
+    std::vector<std::string> engines;
+    double cost_ms = 0;
+    TimePoint last_event;
+    int events = 0;
+    double gap_ms = 0;  // Moving average of the pauses between events.
+  };
+
+  void FindSilent(TimePoint now, Findings* findings) const;
+  void FindSlow(TimePoint now, Findings* findings) const;
+
+  std::unordered_map<Key, Stream> m_streams;
+  TimePoint m_last_tick;
+};
+
+}  // namespace azuregw
+
+#endif  // AZUREGW_FLEET_STREAM_MONITOR_H_
--- a/include/azuregw/forward/exchange.h
+++ b/include/azuregw/forward/exchange.h
@@ -14,6 +14,7 @@
 #include "azuregw/base/random.h"
 #include "azuregw/fleet/fleet.h"
 #include "azuregw/fleet/path_selector.h"
+#include "azuregw/fleet/stream_monitor.h"
 #include "azuregw/forward/gateway_settings.h"
 #include "azuregw/forward/wire_protocol.h"
 #include "azuregw/logging/decision_log.h"
@@ -32,6 +33,7 @@
   Fleet* fleet = nullptr;
   PathSelector* paths = nullptr;
   StreamQueue* queue = nullptr;
+  StreamMonitor* monitor = nullptr;
   RepeatBudget* budget = nullptr;
   const WireProtocol* wire = nullptr;
   EngineControl* engines = nullptr;
--- a/include/azuregw/placement/engine_control.h
+++ b/include/azuregw/placement/engine_control.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "azuregw/base/clock.h"
 #include "azuregw/base/result.h"
 #include "azuregw/fleet/path_selector.h"
 #include "azuregw/preset/preset.h"
@@ -51,9 +52,12 @@
 
 class EngineControl {
  public:
+  // An engine answers within a few ms when it works.
+  static constexpr Milliseconds kReportTimeLimit{600};
+
   virtual ~EngineControl() = default;
   // Errors: kUpstreamUnreachable, kUpstreamTimeout, kUpstreamProtocol.
-  virtual void QueryReport(const std::string& address,
+  virtual void QueryReport(const std::string& address, Milliseconds time_limit,
                            std::function<void(Result<EngineReport>)> done) = 0;
   virtual void Place(const PlaceOrder& order, std::function<void(OrderOutcome)> done) = 0;
   // Moves a running request to another path that begins with the same engine.
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -112,7 +112,13 @@
   if (Upstream* const upstream = Find(id)) {
     upstream->last_progress = now;
     upstream->failures = 0;
-    upstream->told_full = false;
+  }
+}
+
+void Fleet::OnPace(const std::string& id, double factor, TimePoint now) {
+  if (Upstream* const upstream = Find(id)) {
+    upstream->slowdown = factor;
+    upstream->slowdown_until = now + kSlowdownLife;
   }
 }
 
--- a/src/fleet/path_selector.cc
+++ b/src/fleet/path_selector.cc
@@ -32,6 +32,7 @@
   double used;      // Share of the capacity, without this request.
   double noise;
   int domain;
+  double slowdown;
 };
 
 struct Step {
@@ -73,7 +74,7 @@
   for (const auto& [id, upstream] : fleet.All()) {
     const UpstreamRecord& record = upstream.record;
     if (record.service != query.service || !record.layers || !upstream.Usable(query.now) ||
-        query.excluded.count(id) > 0) {
+        query.excluded.count(id) > 0 || (query.first && query.first->id == id)) {
       continue;
     }
     const int held = record.layers->last - record.layers->first;
@@ -85,11 +86,17 @@
     const double used = MemoryLoad(upstream, 0, capacity, query.assumed_instances);
     const int domain =
         domains.emplace(record.failure_domain, static_cast<int>(domains.size())).first->second;
-    candidates.push_back(
-        {&upstream, model, capacity, used, 1 + kCostNoise * m_random->Unit(), domain});
+    candidates.push_back({&upstream, model, capacity, used, 1 + kCostNoise * m_random->Unit(),
+                          domain, query.now < upstream.slowdown_until ? upstream.slowdown : 1});
     boundaries.push_back(record.layers->first);
     boundaries.push_back(record.layers->last);
   }
+  if (query.first) {
+    boundaries.push_back(query.first->layers.last);
+    const Upstream* const first = fleet.Find(query.first->id);
+    domains.emplace(first == nullptr ? "" : first->record.failure_domain,
+                    static_cast<int>(domains.size()));
+  }
   std::sort(boundaries.begin(), boundaries.end());
   boundaries.erase(std::unique(boundaries.begin(), boundaries.end()), boundaries.end());
   const int count = static_cast<int>(boundaries.size());
@@ -100,10 +107,20 @@
   // Cheapest way to reach a boundary, by the failure domain of the last engine.
   std::vector<std::vector<Step>> best(static_cast<size_t>(count),
                                       std::vector<Step>(static_cast<size_t>(domain_count)));
+  int start = 0;
+  if (query.first) {
+    start = static_cast<int>(
+        std::lower_bound(boundaries.begin(), boundaries.end(), query.first->layers.last) -
+        boundaries.begin());
+    const Upstream* const first = fleet.Find(query.first->id);
+    const int first_domain = domains.at(first == nullptr ? "" : first->record.failure_domain);
+    best[static_cast<size_t>(start)][static_cast<size_t>(first_domain)].cost = 0;
+  }
   const auto cross_ms = kCrossDomainMs + profile.zone_delay_ms;
-  for (int at = 0; at + 1 < count; ++at) {
+  for (int at = start; at + 1 < count; ++at) {
     const int layer = boundaries[static_cast<size_t>(at)];
-    if (at > 0 &&
+    const bool entering = at == 0 && !query.first;
+    if (!entering &&
         std::all_of(best[static_cast<size_t>(at)].begin(), best[static_cast<size_t>(at)].end(),
                     [](const Step& step) { return std::isinf(step.cost); })) {
       continue;
@@ -123,10 +140,10 @@
         const double context = candidate.used * candidate.capacity / (held.last - held.first);
         const double running = usual_tokens > 0 ? context / usual_tokens : 0;
         const double time = candidate.model.StepMs(layers, running, context) * candidate.noise *
-                            (1 + kLoadCostFactor * load * load);
-        for (int previous = 0; previous < (at == 0 ? 1 : domain_count); ++previous) {
+                            candidate.slowdown * (1 + kLoadCostFactor * load * load);
+        for (int previous = 0; previous < (entering ? 1 : domain_count); ++previous) {
           double cost = time;
-          if (at == 0) {
+          if (entering) {
             cost += entry_domain == candidate.domain ? kLocalHopMs : profile.zone_delay_ms;
           } else {
             cost += best[static_cast<size_t>(at)][static_cast<size_t>(previous)].cost +
@@ -150,7 +167,7 @@
   }
   EnginePath path;
   path.cost_ms = ends[static_cast<size_t>(domain)].cost;
-  for (int at = count - 1; at > 0;) {
+  for (int at = count - 1; at > start;) {
     const Step& step = best[static_cast<size_t>(at)][static_cast<size_t>(domain)];
     const Candidate& candidate = candidates[static_cast<size_t>(step.candidate)];
     const UpstreamRecord& record = candidate.upstream->record;
@@ -171,6 +188,9 @@
     at = step.from_boundary;
     domain = step.from_domain;
   }
+  if (query.first) {
+    path.hops.push_back(*query.first);
+  }
   std::reverse(path.hops.begin(), path.hops.end());
   return path;
 }
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdlib>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -40,6 +41,11 @@
 // New connections may come until the balancer has missed two answers.
 constexpr Milliseconds kBalancerNotice{2600};
 constexpr Milliseconds kStopPoll{50};
+// New streams avoid an engine that stopped for this long, then try it again.
+constexpr Milliseconds kStoppedFor{1500};
+// An engine that works answers within about 5 ms; streams have to move within 200 ms of silence.
+constexpr Milliseconds kAskLimit{70};
+constexpr Milliseconds kAskAgain{300};
 constexpr Milliseconds kQueueTick{25};
 // Instances that share the load while their number is not known.
 constexpr int kAssumedInstances = 8;
@@ -72,6 +78,7 @@
     m_context.fleet = &m_fleet;
     m_context.paths = &m_paths;
     m_context.queue = &m_queue;
+    m_context.monitor = &m_monitor;
     m_context.budget = &m_budget;
     m_context.wire = m_platform.wire.get();
     m_context.engines = m_platform.engines.get();
@@ -124,6 +131,7 @@
     m_load->Start();
     WaitForSignal();
     TickQueue();
+    TickMonitor();
     m_io.run();
     m_log->Write("stop", {{"connections", m_listener->Connections()}}, true);
     m_log->Flush();
@@ -201,6 +209,50 @@
     });
   }
 
+  void TickMonitor() {
+    m_monitor_timer = m_loop->After(StreamMonitor::kTick, [this] {
+      const TimePoint now = m_loop->Now();
+      const StreamMonitor::Findings findings = m_monitor.Tick(now);
+      for (const auto& [id, factor] : findings.slowdowns) {
+        m_fleet.OnPace(id, factor, now);
+      }
+      for (const std::string& id : findings.silent) {
+        AskSilent(id, now);
+      }
+      TickMonitor();
+    });
+  }
+
+  // Asks an engine whose streams fell silent, and moves them if it does not answer.
+  void AskSilent(const std::string& id, TimePoint now) {
+    const Upstream* const upstream = m_fleet.Find(id);
+    if (upstream == nullptr || now < upstream->suspect_until) {
+      return;
+    }
+    TimePoint& asked = m_asked[id];
+    if (now - asked < kAskAgain) {
+      return;
+    }
+    asked = now;
+    m_platform.engines->QueryReport(
+        upstream->record.address, kAskLimit, [this, id](const Result<EngineReport>& report) {
+          if (report) {
+            return;
+          }
+          m_fleet.Suspect(id, kStoppedFor, m_loop->Now());
+          const std::vector<MonitoredStream*> streams = m_monitor.StreamsOf(id);
+          m_log->Write("upstream_suspect",
+                       {{"upstream", id},
+                        {"reason", "its streams are silent: " + report.error().message},
+                        {"streams", streams.size()},
+                        {"for_ms", kStoppedFor.count()}},
+                       true);
+          for (MonitoredStream* stream : streams) {
+            stream->LeaveEngine(id);
+          }
+        });
+  }
+
   void WaitForSignal() {
     m_signals.async_wait([this](boost::system::error_code error, int signal) {
       if (error) {
@@ -263,6 +315,7 @@
   Fleet m_fleet;
   PathSelector m_paths;
   StreamQueue m_queue;
+  StreamMonitor m_monitor;
   RepeatBudget m_budget;
   ConfigWatcher m_config_watcher;
   UpstreamLister m_lister;
@@ -274,8 +327,10 @@
   std::unique_ptr<StatusServer> m_readiness;
   std::unique_ptr<StatusServer> m_metrics_server;
   std::unique_ptr<Timer> m_queue_timer;
+  std::unique_ptr<Timer> m_monitor_timer;
   std::unique_ptr<Timer> m_stop_timer;
   std::unique_ptr<LoadExchange> m_load;
+  std::map<std::string, TimePoint> m_asked;  // When silent engines were asked.
   int m_last_instances = kAssumedInstances;  // As last known.
   bool m_stopping = false;
   bool m_was_ready = false;
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -40,12 +40,17 @@
 constexpr Milliseconds kUnexplainedSilence{1300};
 // A stream is not moved when less time is left.
 constexpr Milliseconds kLeastTimeToMove{300};
+// Changes of one request's path; each is an order that costs about a twentieth of an answer.
+constexpr int kMaxRepaths = 3;
 // Longest wait of a broken stream for a path with memory.
 constexpr Milliseconds kResumeWait{1200};
 // Largest failure that is kept for the caller.
 constexpr size_t kMaxFailureBytes = size_t{1} << 20;
 
-class StreamExchange final : public ExchangeBase, public HttpCallHandler, public StreamWaiter {
+class StreamExchange final : public ExchangeBase,
+                             public HttpCallHandler,
+                             public StreamWaiter,
+                             public MonitoredStream {
  public:
   StreamExchange(ForwardContext* context, IncomingRequest request, CallerRequest caller,
                  RouteMatch match, CallerResponder* responder)
@@ -77,15 +82,8 @@
   }
 
   bool TryStart() override {
-    PathQuery query;
-    query.service = m_service;
-    query.profile = m_profile;
-    query.tokens = m_tokens;
-    query.failure_domain = m_context->settings.failure_domain;
-    query.excluded = m_excluded;
+    PathQuery query = Query();
     query.max_load = m_head_sent ? kMaxLoadResumed : kMaxLoadNew;
-    query.now = Now();
-    query.assumed_instances = m_context->assumed_instances;
     std::optional<EnginePath> path =
         m_context->paths->Choose(*m_context->fleet, query, &m_path_problem);
     if (!path && !m_excluded.empty() && m_path_problem == PathProblem::kNoCover) {
@@ -100,6 +98,18 @@
     return true;
   }
 
+  void LeaveEngine(const std::string& engine) override {
+    if (!m_attempting || Closed() || m_moving) {
+      return;
+    }
+    if (engine != m_path.hops.front().id && Repath(engine)) {
+      return;
+    }
+    if (MayResend()) {
+      MoveAwayFrom({engine}, "an engine stopped");
+    }
+  }
+
   // ---- HttpCallHandler ----
 
   bool OnHead(const HttpResponseHead& head) override {
@@ -131,6 +141,7 @@
     for (const PathHop& hop : m_path.hops) {
       m_context->fleet->OnProgress(hop.id, now);
     }
+    m_context->monitor->OnEvent(this, now);
     m_scanner.Push(bytes);
     PassOn(m_scanner.TakeWhole(m_resumed ? EventNumber(m_last_sent_id) : std::nullopt));
   }
@@ -168,6 +179,18 @@
   }
 
  private:
+  PathQuery Query() const {
+    PathQuery query;
+    query.service = m_service;
+    query.profile = m_profile;
+    query.tokens = m_tokens;
+    query.failure_domain = m_context->settings.failure_domain;
+    query.excluded = m_excluded;
+    query.now = Now();
+    query.assumed_instances = m_context->assumed_instances;
+    return query;
+  }
+
   void StartAttempt(EnginePath path) {
     m_path = std::move(path);
     m_streaming = false;
@@ -206,9 +229,76 @@
     m_call = m_context->client->Start(
         options, ForwardedMessage(first.id, m_path.hops, m_resumed ? m_last_sent_id : std::nullopt),
         this);
+    BeginMonitoring();
     WatchSilence();
   }
 
+  void BeginMonitoring() {
+    std::vector<std::string> engines;
+    for (const PathHop& hop : m_path.hops) {
+      engines.push_back(hop.id);
+    }
+    m_context->monitor->Begin(this, engines, m_path.cost_ms, Now());
+  }
+
+  bool MayResend() const {
+    return MayRepeat() && m_sends < Route().max_attempts && TimeLeft() >= kLeastTimeToMove;
+  }
+
+  // Moves the running request to a path that begins with the same engine and leaves `engine`. The
+  // other engines keep its memory, and it is no further send. Returns whether this was begun.
+  bool Repath(const std::string& engine) {
+    if (!m_streaming || m_repaths >= kMaxRepaths) {
+      return false;
+    }
+    PathQuery query = Query();
+    query.first = m_path.hops.front();
+    query.excluded.insert(engine);
+    query.max_load = kMaxLoadResumed;
+    PathProblem problem = PathProblem::kNoCover;
+    std::optional<EnginePath> path = m_context->paths->Choose(*m_context->fleet, query, &problem);
+    if (!path) {
+      return false;
+    }
+    ++m_repaths;
+    m_moving = true;
+    const uint64_t generation = ++m_generation;
+    const TimePoint asked = Now();
+    m_context->engines->Repath(
+        m_path.hops.front(), m_caller.id, path->hops,
+        [this, generation, asked, path = *path, engine,
+         alive = std::weak_ptr<int>(m_alive)](OrderOutcome outcome) {
+          if (alive.expired() || generation != m_generation || !m_attempting) {
+            return;
+          }
+          m_moving = false;
+          const bool moved = outcome == OrderOutcome::kStarted || outcome == OrderOutcome::kHolds;
+          LogAttempt(
+              moved ? "moved" : "not_moved",
+              "left " + engine + ", asked " +
+                  std::to_string(std::chrono::duration_cast<Milliseconds>(Now() - asked).count()) +
+                  " ms ago");
+          if (!moved) {
+            if (MayResend() && m_last_bytes <= asked) {
+              MoveAwayFrom({engine}, "an engine stopped, and the path could not be changed");
+            }
+            return;
+          }
+          for (const PathHop& hop : m_path.hops) {
+            m_context->fleet->Release(hop.id, Reservation(hop));
+          }
+          m_path = path;
+          for (const PathHop& hop : m_path.hops) {
+            m_context->fleet->Reserve(hop.id, Reservation(hop));
+          }
+          m_excluded.insert(engine);
+          m_last_bytes = Now();
+          BeginMonitoring();
+          WatchSilence();
+        });
+    return true;
+  }
+
   double Reservation(const PathHop& hop) const {
     return m_tokens * (hop.layers.last - hop.layers.first);
   }
@@ -218,6 +308,9 @@
       return;
     }
     m_attempting = false;
+    m_moving = false;
+    ++m_generation;
+    m_context->monitor->End(this);
     m_silence_timer.reset();
     m_call->Cancel();
     for (const PathHop& hop : m_path.hops) {
@@ -403,18 +496,19 @@
           m_context->loop->After(limit - silence + Milliseconds(1), [this] { OnSilenceTimer(); });
       return;
     }
-    if (!MayRepeat() || m_sends >= Route().max_attempts + 1) {
+    if (m_moving) {
+      WatchSilence();
       return;
     }
     ++m_examinations;
-    if (silence >= kUnexplainedSilence) {
+    if (silence >= kUnexplainedSilence && MayResend()) {
       MoveAwayFrom(SilentEngines(), "silent for " + std::to_string(silence.count()) + " ms");
       return;
     }
     const uint64_t generation = ++m_generation;
     const PathHop first = m_path.hops.front();
     m_context->engines->QueryReport(
-        first.address,
+        first.address, EngineControl::kReportTimeLimit,
         [this, generation, first, alive = std::weak_ptr<int>(m_alive)](Result<EngineReport> state) {
           if (alive.expired() || generation != m_generation || !m_attempting) {
             return;
@@ -434,7 +528,8 @@
         continue;
       }
       if (const std::string* id = m_context->fleet->FindByAddress(stalled.address)) {
-        MoveAwayFrom({*id}, "stalled at " + *id);
+        SuspectEngine(*id, kSilentFor, "stalled");
+        LeaveEngine(*id);
         return;
       }
     }
@@ -504,6 +599,9 @@
   TimePoint m_attempt_started;
   TimePoint m_last_bytes;
   int m_examinations = 0;
+  int m_moves = 0;            // To other paths, with the prompt read again.
+  int m_repaths = 0;          // Of this request, in which the first engine stayed.
+  bool m_moving = false;      // The first engine was asked to change the path.
   uint64_t m_generation = 0;  // Of questions to engines; answers to older ones are ignored.
 
   WholeReply m_head;  // Of the first stream; a failure's body as well.
--- a/src/placement/layout_runner.cc
+++ b/src/placement/layout_runner.cc
@@ -95,7 +95,8 @@
   order = Order{upstream->record.started_ms, std::nullopt, true, m_loop->Now() + kRetryAfter};
   const uint64_t token = m_token;
   m_control->QueryReport(
-      upstream->record.address, [this, id, layers, load_time, token](Result<EngineReport> state) {
+      upstream->record.address, EngineControl::kReportTimeLimit,
+      [this, id, layers, load_time, token](Result<EngineReport> state) {
         if (token != m_token || !m_duty->Held()) {
           return;
         }
