Keep the configuration's age low, wait for it at start, leave slow engines

Causes, from the closing lines of late and refused requests: 1. Callers now wait in the system's queue, up to 800 ms, until the configuration is known. 3. Slow engines filled up with streams that callers gave up after 2 s. Engines beyond 3.5 times their pace are used only without another path. 4. A stop found by one instance was not used by the others' streams; it is shared with the load now.

--- a/include/azuregw/fleet/fleet.h
+++ b/include/azuregw/fleet/fleet.h
@@ -49,6 +49,7 @@
   TimePoint last_progress;      // Last bytes of an answer in which it took part.
   TimePoint suspect_until;      // Gets no new work before this.
   TimePoint own_suspect_until;  // The same, by what this instance found itself.
+  TimePoint stopped_until;      // Some instance found that it does not answer at all.
   int failures = 0;             // Consecutive failures of calls.
   int reported_load = 0;        // Running and waiting requests by its own account.
   TimePoint reported_at;
@@ -81,8 +82,10 @@
 
   // `id` gets no new work for `duration`. Returns whether this is news.
   bool Suspect(const std::string& id, Milliseconds duration, TimePoint now);
+  // The same for an engine that does not answer; its streams are to be moved.
+  void MarkStopped(const std::string& id, Milliseconds duration, TimePoint now);
   // The same by the report of another instance, which is not passed on.
-  void SuspectByReport(const std::string& id, Milliseconds duration, TimePoint now);
+  void SuspectByReport(const std::string& id, Milliseconds duration, bool stopped, TimePoint now);
   void Reserve(const std::string& id, double token_layers);
   void Release(const std::string& id, double token_layers);
   void SetOthers(const std::unordered_map<std::string, UpstreamLoad>& loads);
--- a/include/azuregw/fleet/load_ledger.h
+++ b/include/azuregw/fleet/load_ledger.h
@@ -19,6 +19,7 @@
 struct SuspectReport {
   std::string id;
   Milliseconds remaining{0};
+  bool stopped = false;  // It does not answer at all.
 };
 
 struct LoadReport {
--- a/include/azuregw/fleet/path_selector.h
+++ b/include/azuregw/fleet/path_selector.h
@@ -29,7 +29,8 @@
 
 struct EnginePath {
   std::vector<PathHop> hops;
-  double cost_ms = 0;    // Estimated time of one token.
+  double cost_ms = 0;    // Of one token, with what load and slowness add.
+  double step_ms = 0;    // Time of one token if every engine keeps its usual pace.
   double peak_load = 0;  // Of its fullest engine with this request; 1 is all of its memory.
 };
 
@@ -41,7 +42,8 @@
   std::set<std::string> excluded;  // Ids not to use.
   // The path begins with this hop, which keeps its memory.
   std::optional<PathHop> first;
-  double max_load = 1;  // Engines that would be fuller than this are left out.
+  double max_load = 1;        // Engines that would be fuller than this are left out.
+  double max_slowdown = 1e9;  // Engines that are slower than this are left out.
   TimePoint now;
   // Factor on this instance's own load where the load of the others is not known; 0 when it is.
   int assumed_instances = 0;
--- a/include/azuregw/fleet/stream_monitor.h
+++ b/include/azuregw/fleet/stream_monitor.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "azuregw/base/clock.h"
@@ -23,8 +24,8 @@
 class MonitoredStream {
  public:
   virtual ~MonitoredStream() = default;
-  // Leaves an engine that stopped, if it can.
-  virtual void LeaveEngine(const std::string& engine) = 0;
+  // Leaves an engine that stopped, or else is slow, if it can.
+  virtual void LeaveEngine(const std::string& engine, bool stopped) = 0;
 };
 
 class StreamMonitor {
@@ -38,10 +39,12 @@
     // Engines whose streams all fell silent while others went on; they may have stopped.
     std::set<std::string> silent;
     std::map<std::string, double> slowdowns;  // Of all engines with evidence; 1 is usual.
+    // A few streams whose answers a slow engine holds up, with that engine.
+    std::vector<std::pair<Key, std::string>> held_up;
   };
 
-  // `cost_ms`: expected time of one token.
-  void Begin(Key stream, gsl::span<const std::string> engines, double cost_ms, TimePoint now);
+  // `step_ms`: time of one token if every engine keeps its usual pace.
+  void Begin(Key stream, gsl::span<const std::string> engines, double step_ms, TimePoint now);
   void OnEvent(Key stream, TimePoint now);
   void End(Key stream) { m_streams.erase(stream); }
   Findings Tick(TimePoint now);
@@ -51,7 +54,7 @@
  private:
   struct Stream {
     std::vector<std::string> engines;
-    double cost_ms = 0;
+    double step_ms = 0;
     TimePoint last_event;
     int events = 0;
     double gap_ms = 0;  // Moving average of the pauses between events.
--- a/include/azuregw/forward/caller_listener.h
+++ b/include/azuregw/forward/caller_listener.h
@@ -14,6 +14,8 @@
 class CallerListener {
  public:
   virtual ~CallerListener() = default;
+  // Begins to accept connections; before, they wait in the system's queue.
+  virtual void Accept() = 0;
   // Answers carry `Connection: close` from now on, and connections that are idle are closed after a
   // short time in which requests on their way still arrive.
   virtual void Drain() = 0;
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -34,6 +34,7 @@
         changes.push_back({FleetChange::Kind::kRestarted, record.id, ""});
         upstream.suspect_until = TimePoint();
         upstream.own_suspect_until = TimePoint();
+        upstream.stopped_until = TimePoint();
         upstream.failures = 0;
       }
       if (old.draining != record.draining) {
@@ -80,8 +81,19 @@
   return news;
 }
 
-void Fleet::SuspectByReport(const std::string& id, Milliseconds duration, TimePoint now) {
+void Fleet::MarkStopped(const std::string& id, Milliseconds duration, TimePoint now) {
+  Suspect(id, duration, now);
   if (Upstream* const upstream = Find(id)) {
+    upstream->stopped_until = now + duration;
+  }
+}
+
+void Fleet::SuspectByReport(const std::string& id, Milliseconds duration, bool stopped,
+                            TimePoint now) {
+  if (Upstream* const upstream = Find(id)) {
+    if (stopped) {
+      upstream->stopped_until = std::max(upstream->stopped_until, now + duration);
+    }
     upstream->suspect_until = std::max(upstream->suspect_until, now + duration);
   }
 }
--- a/src/fleet/load_ledger.cc
+++ b/src/fleet/load_ledger.cc
@@ -30,7 +30,7 @@
       }
       for (const SuspectReport& suspect : entry->second.report.suspects) {
         if (suspect.remaining > age) {
-          sum.suspects.push_back({suspect.id, suspect.remaining - age});
+          sum.suspects.push_back({suspect.id, suspect.remaining - age, suspect.stopped});
         }
       }
     }
@@ -48,7 +48,8 @@
     }
     if (upstream.own_suspect_until > now) {
       report.suspects.push_back(
-          {id, std::chrono::duration_cast<Milliseconds>(upstream.own_suspect_until - now)});
+          {id, std::chrono::duration_cast<Milliseconds>(upstream.own_suspect_until - now),
+           upstream.stopped_until > now});
     }
   }
   return report;
@@ -57,7 +58,7 @@
 void ApplyOthers(const LoadReport& others, Fleet* fleet, TimePoint now) {
   fleet->SetOthers(others.loads);
   for (const SuspectReport& suspect : others.suspects) {
-    fleet->SuspectByReport(suspect.id, suspect.remaining, now);
+    fleet->SuspectByReport(suspect.id, suspect.remaining, suspect.stopped, now);
   }
 }
 
--- a/src/fleet/path_selector.cc
+++ b/src/fleet/path_selector.cc
@@ -73,8 +73,10 @@
   const double usual_tokens = profile.usual_prompt_tokens + profile.usual_answer_tokens;
   for (const auto& [id, upstream] : fleet.All()) {
     const UpstreamRecord& record = upstream.record;
-    if (record.service != query.service || !record.layers || !upstream.Usable(query.now) ||
-        query.excluded.count(id) > 0 || (query.first && query.first->id == id)) {
+    const double slowdown = query.now < upstream.slowdown_until ? upstream.slowdown : 1;
+    if (record.service != query.service || !record.layers || slowdown > query.max_slowdown ||
+        !upstream.Usable(query.now) || query.excluded.count(id) > 0 ||
+        (query.first && query.first->id == id)) {
       continue;
     }
     const int held = record.layers->last - record.layers->first;
@@ -185,6 +187,12 @@
     const double load =
         candidate.used + query.tokens * (range.last - range.first) / candidate.capacity;
     path.peak_load = std::max(path.peak_load, load);
+    const double context =
+        candidate.used * candidate.capacity /
+        (candidate.upstream->record.layers->last - candidate.upstream->record.layers->first);
+    path.step_ms += kLocalHopMs +
+                    candidate.model.StepMs(range.last - range.first,
+                                           usual_tokens > 0 ? context / usual_tokens : 0, context);
     at = step.from_boundary;
     domain = step.from_domain;
   }
--- a/src/fleet/stream_monitor.cc
+++ b/src/fleet/stream_monitor.cc
@@ -12,8 +12,8 @@
 constexpr Milliseconds kHeldUp{120};
 // A stream is silent after this pause, or after this multiple of its usual one if that is longer.
 // Usual pauses are 30 to 60 ms, and a pause over 200 ms makes an answer late.
-constexpr double kSilentMs = 80;
-constexpr double kSilentFactor = 2.5;
+constexpr double kSilentMs = 70;
+constexpr double kSilentFactor = 2.0;
 // An engine works if one of its streams had an event this lately.
 constexpr Milliseconds kProgress{60};
 // One silent stream may be one preempted request.
@@ -27,6 +27,11 @@
 constexpr size_t kLeastStreams = 5;
 // More is not told apart.
 constexpr double kMostSlowdown = 10;
+// A stream leaves an engine that is slower than this when its pauses make it late.
+constexpr double kHeldUpSlowdown = 4;
+constexpr double kHeldUpMs = 220;
+// Streams that leave slow engines per tick; moving all at once would overfill the others.
+constexpr size_t kHeldUpPerTick = 1;
 
 double PauseMs(TimePoint now, TimePoint last) {
   return std::chrono::duration<double, std::milli>(now - last).count();
@@ -34,12 +39,12 @@
 
 }  // namespace
 
-void StreamMonitor::Begin(Key stream, gsl::span<const std::string> engines, double cost_ms,
+void StreamMonitor::Begin(Key stream, gsl::span<const std::string> engines, double step_ms,
                           TimePoint now) {
   Stream& entry = m_streams[stream];
   entry = Stream();
   entry.engines.assign(engines.begin(), engines.end());
-  entry.cost_ms = std::max(0.1, cost_ms);
+  entry.step_ms = std::max(0.1, step_ms);
   entry.last_event = now;
 }
 
@@ -132,8 +137,8 @@
     }
     const double gap = std::max(stream.gap_ms, PauseMs(now, stream.last_event));
     paced.emplace_back(key, &stream);
-    ratio_of[key] = gap / stream.cost_ms;
-    ratios.push_back(gap / stream.cost_ms);
+    ratio_of[key] = gap / stream.step_ms;
+    ratios.push_back(gap / stream.step_ms);
   }
   if (ratios.size() < kLeastStreams) {
     return;
@@ -151,6 +156,20 @@
       found->second = std::min(found->second, slowdown);
     }
   }
+  for (const auto& [key, stream] : paced) {
+    if (findings->held_up.size() >= kHeldUpPerTick) {
+      return;
+    }
+    if (std::max(stream->gap_ms, PauseMs(now, stream->last_event)) < kHeldUpMs) {
+      continue;
+    }
+    for (const std::string& engine : stream->engines) {
+      if (findings->slowdowns[engine] > kHeldUpSlowdown) {
+        findings->held_up.emplace_back(key, engine);
+        break;
+      }
+    }
+  }
 }
 
 }  // namespace azuregw
--- a/src/forward/caller_listener.cc
+++ b/src/forward/caller_listener.cc
@@ -133,29 +133,10 @@
     if (error) {
       return NotRun(ResultCode::kPortInUse, "callers' address: " + error.message());
     }
-    Accept();
     return boost::outcome_v2::success();
   }
 
-  void Drain() override {
-    m_draining = true;
-    const std::set<CallerConnection*> connections = m_connections;
-    for (CallerConnection* connection : connections) {
-      connection->Drain();
-    }
-  }
-  int Connections() const override { return static_cast<int>(m_connections.size()); }
-  int ActiveExchanges() const override {
-    return static_cast<int>(
-        std::count_if(m_connections.begin(), m_connections.end(),
-                      [](const CallerConnection* connection) { return connection->Active(); }));
-  }
-
-  void Add(CallerConnection* connection) { m_connections.insert(connection); }
-  void Remove(CallerConnection* connection) { m_connections.erase(connection); }
-
- private:
-  void Accept() {
+  void Accept() override {
     m_acceptor.async_accept([this](error_code error, tcp::socket socket) {
       if (error == asio::error::operation_aborted) {
         return;
@@ -183,6 +164,24 @@
     });
   }
 
+  void Drain() override {
+    m_draining = true;
+    const std::set<CallerConnection*> connections = m_connections;
+    for (CallerConnection* connection : connections) {
+      connection->Drain();
+    }
+  }
+  int Connections() const override { return static_cast<int>(m_connections.size()); }
+  int ActiveExchanges() const override {
+    return static_cast<int>(
+        std::count_if(m_connections.begin(), m_connections.end(),
+                      [](const CallerConnection* connection) { return connection->Active(); }));
+  }
+
+  void Add(CallerConnection* connection) { m_connections.insert(connection); }
+  void Remove(CallerConnection* connection) { m_connections.erase(connection); }
+
+ private:
   asio::io_context* const m_io;
   ForwardContext* const m_context;
   tcp::acceptor m_acceptor;
--- a/src/forward/exchange_base.cc
+++ b/src/forward/exchange_base.cc
@@ -144,12 +144,6 @@
   m_context->budget->OnRequest(m_service, Now());
 }
 
-ExchangeBase::~ExchangeBase() {
-  if (!m_closed) {
-    Close(0, "caller_gone", "the caller closed its connection");
-  }
-}
-
 Milliseconds ExchangeBase::TimeLeft() const {
   return std::max(Milliseconds(0), std::chrono::duration_cast<Milliseconds>(m_deadline - Now()));
 }
@@ -203,18 +197,14 @@
   m_deadline_timer.reset();
   const auto took = std::chrono::duration_cast<Milliseconds>(Now() - m_request.arrived).count();
   const bool bad = outcome != "delivered";
-  m_context->log->Write("request_closed",
-                        {{"request_id", m_caller.id},
-                         {"route", Route().name},
-                         {"service", m_service},
-                         {"config_version", m_match.config->version},
-                         {"status", status},
-                         {"outcome", outcome},
-                         {"reason", reason},
-                         {"sends", m_sends},
-                         {"took_ms", took},
-                         {"time_left_ms", TimeLeft().count()}},
-                        bad);
+  nlohmann::ordered_json line = {
+      {"request_id", m_caller.id}, {"route", Route().name},
+      {"service", m_service},      {"config_version", m_match.config->version},
+      {"status", status},          {"outcome", outcome},
+      {"reason", reason},          {"sends", m_sends},
+      {"took_ms", took},           {"time_left_ms", TimeLeft().count()}};
+  AddDetails(&line);
+  m_context->log->Write("request_closed", std::move(line), bad);
   m_context->metrics->Add("azuregw_requests_total", "outcome=\"" + outcome + "\"", 1);
   m_context->metrics->Observe("azuregw_request_ms", "", static_cast<double>(took));
 }
--- a/src/forward/exchange_base.h
+++ b/src/forward/exchange_base.h
@@ -5,6 +5,7 @@
 #define SRC_FORWARD_EXCHANGE_BASE_H_
 
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -17,11 +18,14 @@
  public:
   ExchangeBase(ForwardContext* context, IncomingRequest request, CallerRequest caller,
                RouteMatch match, CallerResponder* responder);
-  ~ExchangeBase() override;
+  // Kinds of exchange write the closing line of a caller that left, as long as they are whole.
+  ~ExchangeBase() override = default;
 
  protected:
   // Called once, when neither the caller nor the operator waits any longer.
   virtual void OnDeadline() = 0;
+  // Further members of the closing log line.
+  virtual void AddDetails(nlohmann::ordered_json* /*line*/) const {}
 
   TimePoint Now() const { return m_context->loop->Now(); }
   Milliseconds TimeLeft() const;
@@ -38,6 +42,11 @@
   // Writes the closing log line; the exchange sends nothing after it.
   void Close(int status, const std::string& outcome, const std::string& reason);
   bool Closed() const { return m_closed; }
+  void CloseIfCallerLeft() {
+    if (!m_closed) {
+      Close(0, "caller_gone", "the caller closed its connection");
+    }
+  }
   // Whether the route has failed upstream answers replaced by a repeat.
   bool MayRepeat() const { return m_match.route->MayRepeat(); }
   const RouteSpec& Route() const { return *m_match.route; }
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -41,11 +41,13 @@
 // New connections may come until the balancer has missed two answers.
 constexpr Milliseconds kBalancerNotice{2600};
 constexpr Milliseconds kStopPoll{50};
+constexpr Milliseconds kKnownPoll{5};
+constexpr Milliseconds kLongestUnknown{800};
 // New streams avoid an engine that stopped for this long, then try it again.
 constexpr Milliseconds kStoppedFor{1500};
 // An engine that works answers within about 5 ms; streams have to move within 200 ms of silence.
-constexpr Milliseconds kAskLimit{70};
-constexpr Milliseconds kAskAgain{300};
+constexpr Milliseconds kAskLimit{60};
+constexpr Milliseconds kAskAgain{150};
 constexpr Milliseconds kQueueTick{25};
 // Instances that share the load while their number is not known.
 constexpr int kAssumedInstances = 8;
@@ -130,6 +132,7 @@
     m_layout.Start();
     m_load->Start();
     WaitForSignal();
+    AcceptWhenKnown();
     TickQueue();
     TickMonitor();
     m_io.run();
@@ -194,6 +197,17 @@
     return {200, "text/plain; version=0.0.4", m_metrics->PrometheusText()};
   }
 
+  // Callers wait in the system's queue until the configuration is known, because a refusal would
+  // use up their next try. They give up a connection that is not read for a second.
+  void AcceptWhenKnown() {
+    const bool known = m_routes.Version() > 0 && m_lister.Age();
+    if (known || m_loop->Now() - m_started > kLongestUnknown) {
+      m_listener->Accept();
+      return;
+    }
+    m_accept_timer = m_loop->After(kKnownPoll, [this] { AcceptWhenKnown(); });
+  }
+
   void TickQueue() {
     m_queue_timer = m_loop->After(kQueueTick, [this] {
       const std::optional<int> instances = m_load->Instances();
@@ -219,6 +233,9 @@
       for (const std::string& id : findings.silent) {
         AskSilent(id, now);
       }
+      for (const auto& [stream, id] : findings.held_up) {
+        stream->LeaveEngine(id, false);
+      }
       TickMonitor();
     });
   }
@@ -226,7 +243,11 @@
   // Asks an engine whose streams fell silent, and moves them if it does not answer.
   void AskSilent(const std::string& id, TimePoint now) {
     const Upstream* const upstream = m_fleet.Find(id);
-    if (upstream == nullptr || now < upstream->suspect_until) {
+    if (upstream == nullptr) {
+      return;
+    }
+    if (now < upstream->stopped_until) {
+      LeaveStopped(id);  // Another instance has asked.
       return;
     }
     TimePoint& asked = m_asked[id];
@@ -239,20 +260,22 @@
           if (report) {
             return;
           }
-          m_fleet.Suspect(id, kStoppedFor, m_loop->Now());
-          const std::vector<MonitoredStream*> streams = m_monitor.StreamsOf(id);
+          m_fleet.MarkStopped(id, kStoppedFor, m_loop->Now());
           m_log->Write("upstream_suspect",
                        {{"upstream", id},
                         {"reason", "its streams are silent: " + report.error().message},
-                        {"streams", streams.size()},
                         {"for_ms", kStoppedFor.count()}},
                        true);
-          for (MonitoredStream* stream : streams) {
-            stream->LeaveEngine(id);
-          }
+          LeaveStopped(id);
         });
   }
 
+  void LeaveStopped(const std::string& id) {
+    for (MonitoredStream* stream : m_monitor.StreamsOf(id)) {
+      stream->LeaveEngine(id, true);
+    }
+  }
+
   void WaitForSignal() {
     m_signals.async_wait([this](boost::system::error_code error, int signal) {
       if (error) {
@@ -327,6 +350,8 @@
   std::unique_ptr<StatusServer> m_readiness;
   std::unique_ptr<StatusServer> m_metrics_server;
   std::unique_ptr<Timer> m_queue_timer;
+  std::unique_ptr<Timer> m_accept_timer;
+  const TimePoint m_started = m_loop->Now();
   std::unique_ptr<Timer> m_monitor_timer;
   std::unique_ptr<Timer> m_stop_timer;
   std::unique_ptr<LoadExchange> m_load;
--- a/src/forward/plain_exchange.cc
+++ b/src/forward/plain_exchange.cc
@@ -58,6 +58,7 @@
   using ExchangeBase::ExchangeBase;
 
   ~PlainExchange() override {
+    CloseIfCallerLeft();
     for (const auto& attempt : m_attempts) {
       End(attempt.get());
     }
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -20,6 +20,11 @@
 constexpr double kMaxLoadNew = 0.95;
 // A stream that its caller already reads goes on before new ones start.
 constexpr double kMaxLoadResumed = 1.05;
+// Slow engines get work only if there is no other path, and then little: their queue grows faster
+// than their memory fills, and their streams are late.
+constexpr double kMaxSlowdown = 3.5;
+constexpr double kAnySlowdown = 1e9;
+constexpr double kMaxLoadSlow = 0.4;
 // Share of the expected answer that is reserved: memory fills as the answer grows.
 constexpr double kAnswerShare = 0.7;
 // Refusals of engines that are answered by another path.
@@ -66,6 +71,7 @@
   }
 
   ~StreamExchange() override {
+    CloseIfCallerLeft();
     m_context->queue->Leave(this);
     EndAttempt();
   }
@@ -84,8 +90,14 @@
   bool TryStart() override {
     PathQuery query = Query();
     query.max_load = m_head_sent ? kMaxLoadResumed : kMaxLoadNew;
+    query.max_slowdown = kMaxSlowdown;
     std::optional<EnginePath> path =
         m_context->paths->Choose(*m_context->fleet, query, &m_path_problem);
+    if (!path) {
+      query.max_slowdown = kAnySlowdown;
+      query.max_load = kMaxLoadSlow;
+      path = m_context->paths->Choose(*m_context->fleet, query, &m_path_problem);
+    }
     if (!path && !m_excluded.empty() && m_path_problem == PathProblem::kNoCover) {
       // An engine that refused once is better than none.
       m_excluded.clear();
@@ -98,15 +110,21 @@
     return true;
   }
 
-  void LeaveEngine(const std::string& engine) override {
+  void LeaveEngine(const std::string& engine, bool stopped) override {
     if (!m_attempting || Closed() || m_moving) {
       return;
     }
+    if (!stopped) {
+      if (m_left_slow) {
+        return;
+      }
+      m_left_slow = true;  // One change at most: it may not have got better.
+    }
     if (engine != m_path.hops.front().id && Repath(engine)) {
       return;
     }
     if (MayResend()) {
-      MoveAwayFrom({engine}, "an engine stopped");
+      MoveAwayFrom({engine}, stopped ? "an engine stopped" : "an engine is slow");
     }
   }
 
@@ -179,6 +197,12 @@
   }
 
  private:
+  void AddDetails(nlohmann::ordered_json* line) const override {
+    (*line)["first_event_ms"] = m_first_event.count();
+    (*line)["longest_pause_ms"] = m_longest_pause.count();
+    (*line)["path_changes"] = m_repaths;
+  }
+
   PathQuery Query() const {
     PathQuery query;
     query.service = m_service;
@@ -238,7 +262,7 @@
     for (const PathHop& hop : m_path.hops) {
       engines.push_back(hop.id);
     }
-    m_context->monitor->Begin(this, engines, m_path.cost_ms, Now());
+    m_context->monitor->Begin(this, engines, m_path.step_ms, Now());
   }
 
   bool MayResend() const {
@@ -255,6 +279,7 @@
     query.first = m_path.hops.front();
     query.excluded.insert(engine);
     query.max_load = kMaxLoadResumed;
+    query.max_slowdown = kMaxSlowdown;
     PathProblem problem = PathProblem::kNoCover;
     std::optional<EnginePath> path = m_context->paths->Choose(*m_context->fleet, query, &problem);
     if (!path) {
@@ -325,14 +350,18 @@
     if (events.empty()) {
       return;
     }
+    const TimePoint now = Now();
     if (!m_head_sent) {
       m_head_sent = true;
-      m_context->metrics->Observe(
-          "azuregw_first_event_ms", "",
-          static_cast<double>(
-              std::chrono::duration_cast<Milliseconds>(Now() - m_request.arrived).count()));
+      m_first_event = std::chrono::duration_cast<Milliseconds>(now - m_request.arrived);
+      m_context->metrics->Observe("azuregw_first_event_ms", "",
+                                  static_cast<double>(m_first_event.count()));
       m_responder->BeginStream(m_head);
+    } else {
+      m_longest_pause = std::max(m_longest_pause,
+                                 std::chrono::duration_cast<Milliseconds>(now - m_last_passed_on));
     }
+    m_last_passed_on = now;
     if (m_scanner.LastId()) {
       m_last_sent_id = m_scanner.LastId();
     }
@@ -529,7 +558,7 @@
       }
       if (const std::string* id = m_context->fleet->FindByAddress(stalled.address)) {
         SuspectEngine(*id, kSilentFor, "stalled");
-        LeaveEngine(*id);
+        LeaveEngine(*id, true);
         return;
       }
     }
@@ -600,6 +629,7 @@
   TimePoint m_last_bytes;
   int m_examinations = 0;
   int m_moves = 0;            // To other paths, with the prompt read again.
+  bool m_left_slow = false;   // A slow engine was left.
   int m_repaths = 0;          // Of this request, in which the first engine stayed.
   bool m_moving = false;      // The first engine was asked to change the path.
   uint64_t m_generation = 0;  // Of questions to engines; answers to older ones are ignored.
@@ -608,6 +638,9 @@
   bool m_head_sent = false;
   EventScanner m_scanner;
   std::optional<std::string> m_last_sent_id;
+  TimePoint m_last_passed_on;
+  Milliseconds m_first_event{-1};   // After the request's arrival; -1: none was passed on.
+  Milliseconds m_longest_pause{0};  // Between events passed on.
   std::unique_ptr<Timer> m_wait_timer;
   std::unique_ptr<Timer> m_silence_timer;
   // Expires with the exchange, for answers to questions that outlive it.
--- a/src/sync/config_watcher.cc
+++ b/src/sync/config_watcher.cc
@@ -82,8 +82,9 @@
                        return;
                      }
                      OnFailure(reply.error());
-                     // A lost watch may have missed nothing, but reading the key proves it.
-                     Later(kAfterFailure, &ConfigWatcher::Read);
+                     // A lost watch may have missed nothing, but only reading the key proves it,
+                     // and the age of the configuration limits how long keys are honoured.
+                     Read();
                      return;
                    }
                    m_revision = reply.value().revision;
--- a/src/sync/load_exchange.cc
+++ b/src/sync/load_exchange.cc
@@ -48,6 +48,7 @@
     auto entry = std::make_unique<wire::SuspectEntryT>();
     entry->id = suspect.id;
     entry->remaining_ms = static_cast<uint32_t>(suspect.remaining.count());
+    entry->stopped = suspect.stopped;
     message.suspects.push_back(std::move(entry));
   }
   flatbuffers::FlatBufferBuilder builder;
@@ -69,7 +70,7 @@
     report.loads[entry->id] = {entry->token_layers, static_cast<int>(entry->requests)};
   }
   for (const auto& entry : message->suspects) {
-    report.suspects.push_back({entry->id, Milliseconds(entry->remaining_ms)});
+    report.suspects.push_back({entry->id, Milliseconds(entry->remaining_ms), entry->stopped});
   }
   return report;
 }
