Ask slow engines for their pace; treat working engines that refuse as full

Causes: (1) the slowdown guessed from streams alone stayed high for engines that only share paths with slow ones, and fell when all paths had a slow engine. Engines whose streams are all slow are now asked for their pace (at most every 700 ms, shared with the load); one stream a tick leaves an engine that says it is slow. An engine that made progress in the last 300 ms is now only left out here for 200 ms. (3) Hops to other failure domains cost 6 ms instead of 2 in the choice of a path: the pipes that all engines share fill before memory does.

--- a/include/azuregw/fleet/fleet.h
+++ b/include/azuregw/fleet/fleet.h
@@ -50,13 +50,17 @@
   TimePoint suspect_until;      // Gets no new work before this.
   TimePoint own_suspect_until;  // The same, by what this instance found itself.
   TimePoint stopped_until;      // Some instance found that it does not answer at all.
-  int failures = 0;             // Consecutive failures of calls.
-  int reported_load = 0;        // Running and waiting requests by its own account.
+  TimePoint full_until;
+  int failures = 0;       // Consecutive failures of calls.
+  int reported_load = 0;  // Running and waiting requests by its own account.
   TimePoint reported_at;
-  double slowdown = 1;       // Factor on the time of its work, by the pace of own streams.
-  TimePoint slowdown_until;  // Evidence is renewed as long as there is work to judge by.
+  double slowdown = 1;           // Factor on the time of its work, by its own account.
+  TimePoint slowdown_until;      // When that account is too old.
+  bool pace_asked_here = false;  // Else another instance asked.
 
-  bool Usable(TimePoint now) const { return !record.draining && now >= suspect_until; }
+  bool Usable(TimePoint now) const {
+    return !record.draining && now >= suspect_until && now >= full_until;
+  }
 };
 
 struct FleetChange {
@@ -72,8 +76,8 @@
   // The platform promises that live upstreams are listed again within about 2 s.
   static constexpr Milliseconds kRelistGrace{2000};
 
-  // A slow engine is tried again with new streams after this time without any.
-  static constexpr Milliseconds kSlowdownLife{1500};
+  // How long an engine's account of its pace is used; it is some hundred ms old when it comes.
+  static constexpr Milliseconds kPaceLife{1500};
 
   // Replaces the list. `after_outage` says that the previous list is from before an outage of the
   // store; entries missing from this list are then kept until the grace has passed.
@@ -84,14 +88,17 @@
   bool Suspect(const std::string& id, Milliseconds duration, TimePoint now);
   // The same for an engine that does not answer; its streams are to be moved.
   void MarkStopped(const std::string& id, Milliseconds duration, TimePoint now);
+  // It refused a stream for want of memory; new ones go elsewhere for `duration`. Not passed on.
+  void MarkFull(const std::string& id, Milliseconds duration, TimePoint now);
   // The same by the report of another instance, which is not passed on.
   void SuspectByReport(const std::string& id, Milliseconds duration, bool stopped, TimePoint now);
   void Reserve(const std::string& id, double token_layers);
   void Release(const std::string& id, double token_layers);
   void SetOthers(const std::unordered_map<std::string, UpstreamLoad>& loads);
   void OnProgress(const std::string& id, TimePoint now);
-  // `factor` holds until evidence is older than kSlowdownLife.
-  void OnPace(const std::string& id, double factor, TimePoint now);
+  // The engine told its pace to this instance, or to another one.
+  void OnPace(const std::string& id, double pace, TimePoint now);
+  void PaceByReport(const std::string& id, double pace, Milliseconds remaining, TimePoint now);
   void OnReportedLoad(const std::string& id, int load, TimePoint now);
 
   Upstream* Find(const std::string& id);
--- a/include/azuregw/fleet/load_ledger.h
+++ b/include/azuregw/fleet/load_ledger.h
@@ -22,11 +22,18 @@
   bool stopped = false;  // It does not answer at all.
 };
 
+struct PaceReport {
+  std::string id;
+  double pace = 1;  // Above 1: slower than its kind.
+  Milliseconds remaining{0};
+};
+
 struct LoadReport {
   std::string instance;
   int instances = 0;  // Set by the holder.
   std::unordered_map<std::string, UpstreamLoad> loads;
   std::vector<SuspectReport> suspects;
+  std::vector<PaceReport> paces;
 };
 
 class LoadLedger {
@@ -35,7 +42,7 @@
   static constexpr Milliseconds kReportLife{1500};
 
   void Add(LoadReport report, TimePoint now);
-  // The sum of the reports of all but `instance`, and all their suspects.
+  // The sum of the reports of all but `instance`, and all their suspects and paces.
   LoadReport OthersOf(const std::string& instance, TimePoint now);
 
  private:
--- a/include/azuregw/fleet/path_selector.h
+++ b/include/azuregw/fleet/path_selector.h
@@ -44,6 +44,8 @@
   std::optional<PathHop> first;
   double max_load = 1;        // Engines that would be fuller than this are left out.
   double max_slowdown = 1e9;  // Engines that are slower than this are left out.
+  // Random share added to costs, so that those with the same view do not all choose the same path.
+  double spread = 0.1;
   TimePoint now;
   // Factor on this instance's own load where the load of the others is not known; 0 when it is.
   int assumed_instances = 0;
--- a/include/azuregw/fleet/stream_monitor.h
+++ b/include/azuregw/fleet/stream_monitor.h
@@ -13,7 +13,6 @@
 #include <set>
 #include <string>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 #include "azuregw/base/clock.h"
@@ -38,9 +37,8 @@
   struct Findings {
     // Engines whose streams all fell silent while others went on; they may have stopped.
     std::set<std::string> silent;
-    std::map<std::string, double> slowdowns;  // Of all engines with evidence; 1 is usual.
-    // A few streams whose answers a slow engine holds up, with that engine.
-    std::vector<std::pair<Key, std::string>> held_up;
+    // At most how much slower than usual each engine with evidence is; 1 is usual.
+    std::map<std::string, double> slowdowns;
   };
 
   // `step_ms`: time of one token if every engine keeps its usual pace.
@@ -48,6 +46,8 @@
   void OnEvent(Key stream, TimePoint now);
   void End(Key stream) { m_streams.erase(stream); }
   Findings Tick(TimePoint now);
+  // The stream through an engine with the longest pauses, if they make it late; else null.
+  Key SlowestOf(const std::string& engine) const;
   // Streams that pass through an engine.
   std::vector<Key> StreamsOf(const std::string& engine) const;
 
@@ -61,10 +61,11 @@
   };
 
   void FindSilent(TimePoint now, Findings* findings) const;
-  void FindSlow(TimePoint now, Findings* findings) const;
+  void FindSlow(TimePoint now, Findings* findings);
 
   std::unordered_map<Key, Stream> m_streams;
   TimePoint m_last_tick;
+  double m_usual = 1e9;  // Best pace seen: pause between events over the time of a token.
 };
 
 }  // namespace azuregw
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -88,6 +88,12 @@
   }
 }
 
+void Fleet::MarkFull(const std::string& id, Milliseconds duration, TimePoint now) {
+  if (Upstream* const upstream = Find(id)) {
+    upstream->full_until = now + duration;
+  }
+}
+
 void Fleet::SuspectByReport(const std::string& id, Milliseconds duration, bool stopped,
                             TimePoint now) {
   if (Upstream* const upstream = Find(id)) {
@@ -127,10 +133,21 @@
   }
 }
 
-void Fleet::OnPace(const std::string& id, double factor, TimePoint now) {
+void Fleet::OnPace(const std::string& id, double pace, TimePoint now) {
   if (Upstream* const upstream = Find(id)) {
-    upstream->slowdown = factor;
-    upstream->slowdown_until = now + kSlowdownLife;
+    upstream->slowdown = std::max(1.0, pace);
+    upstream->slowdown_until = now + kPaceLife;
+    upstream->pace_asked_here = true;
+  }
+}
+
+void Fleet::PaceByReport(const std::string& id, double pace, Milliseconds remaining,
+                         TimePoint now) {
+  Upstream* const upstream = Find(id);
+  if (upstream != nullptr && now + remaining > upstream->slowdown_until) {
+    upstream->slowdown = std::max(1.0, pace);
+    upstream->slowdown_until = now + remaining;
+    upstream->pace_asked_here = false;
   }
 }
 
--- a/src/fleet/load_ledger.cc
+++ b/src/fleet/load_ledger.cc
@@ -33,6 +33,11 @@
           sum.suspects.push_back({suspect.id, suspect.remaining - age, suspect.stopped});
         }
       }
+      for (const PaceReport& pace : entry->second.report.paces) {
+        if (pace.remaining > age) {
+          sum.paces.push_back({pace.id, pace.pace, pace.remaining - age});
+        }
+      }
     }
     ++entry;
   }
@@ -51,6 +56,11 @@
           {id, std::chrono::duration_cast<Milliseconds>(upstream.own_suspect_until - now),
            upstream.stopped_until > now});
     }
+    if (upstream.pace_asked_here && upstream.slowdown_until > now) {
+      report.paces.push_back(
+          {id, upstream.slowdown,
+           std::chrono::duration_cast<Milliseconds>(upstream.slowdown_until - now)});
+    }
   }
   return report;
 }
@@ -60,6 +70,9 @@
   for (const SuspectReport& suspect : others.suspects) {
     fleet->SuspectByReport(suspect.id, suspect.remaining, suspect.stopped, now);
   }
+  for (const PaceReport& pace : others.paces) {
+    fleet->PaceByReport(pace.id, pace.pace, pace.remaining, now);
+  }
 }
 
 }  // namespace azuregw
--- a/src/fleet/path_selector.cc
+++ b/src/fleet/path_selector.cc
@@ -19,11 +19,9 @@
 constexpr double kLoadCostFactor = 4.0;
 // Extra cost of a hop to another failure domain, in ms per token, beside its delay. A prompt
 // crosses a pipe that all engines share, which saturates at about one crossing per request.
-constexpr double kCrossDomainMs = 2.0;
+constexpr double kCrossDomainMs = 6.0;
 // Delay of a hop inside a failure domain, in ms.
 constexpr double kLocalHopMs = 0.2;
-// Spread of the costs, so that instances with the same view do not all choose the same path.
-constexpr double kCostNoise = 0.1;
 
 struct Candidate {
   const Upstream* upstream;
@@ -88,7 +86,7 @@
     const double used = MemoryLoad(upstream, 0, capacity, query.assumed_instances);
     const int domain =
         domains.emplace(record.failure_domain, static_cast<int>(domains.size())).first->second;
-    candidates.push_back({&upstream, model, capacity, used, 1 + kCostNoise * m_random->Unit(),
+    candidates.push_back({&upstream, model, capacity, used, 1 + query.spread * m_random->Unit(),
                           domain, query.now < upstream.slowdown_until ? upstream.slowdown : 1});
     boundaries.push_back(record.layers->first);
     boundaries.push_back(record.layers->last);
--- a/src/fleet/stream_monitor.cc
+++ b/src/fleet/stream_monitor.cc
@@ -12,7 +12,7 @@
 constexpr Milliseconds kHeldUp{120};
 // A stream is silent after this pause, or after this multiple of its usual one if that is longer.
 // Usual pauses are 30 to 60 ms, and a pause over 200 ms makes an answer late.
-constexpr double kSilentMs = 70;
+constexpr double kSilentMs = 65;
 constexpr double kSilentFactor = 2.0;
 // An engine works if one of its streams had an event this lately.
 constexpr Milliseconds kProgress{60};
@@ -26,12 +26,11 @@
 // Streams needed to know the usual pace.
 constexpr size_t kLeastStreams = 5;
 // More is not told apart.
-constexpr double kMostSlowdown = 10;
-// A stream leaves an engine that is slower than this when its pauses make it late.
-constexpr double kHeldUpSlowdown = 4;
-constexpr double kHeldUpMs = 220;
-// Streams that leave slow engines per tick; moving all at once would overfill the others.
-constexpr size_t kHeldUpPerTick = 1;
+constexpr double kMostSlowdown = 20;
+// Growth of the remembered pace per tick, 1 % a second: it follows a lasting change of the work.
+constexpr double kUsualGrowth = 1.0002;
+// A stream with longer pauses is late.
+constexpr double kLateMs = 220;
 
 double PauseMs(TimePoint now, TimePoint last) {
   return std::chrono::duration<double, std::milli>(now - last).count();
@@ -117,6 +116,19 @@
   }
 }
 
+StreamMonitor::Key StreamMonitor::SlowestOf(const std::string& engine) const {
+  Key slowest = nullptr;
+  double longest = kLateMs;
+  for (const auto& [key, stream] : m_streams) {
+    if (stream.gap_ms > longest &&
+        std::find(stream.engines.begin(), stream.engines.end(), engine) != stream.engines.end()) {
+      longest = stream.gap_ms;
+      slowest = key;
+    }
+  }
+  return slowest;
+}
+
 std::vector<StreamMonitor::Key> StreamMonitor::StreamsOf(const std::string& engine) const {
   std::vector<Key> keys;
   for (const auto& [key, stream] : m_streams) {
@@ -127,7 +139,7 @@
   return keys;
 }
 
-void StreamMonitor::FindSlow(TimePoint now, Findings* findings) const {
+void StreamMonitor::FindSlow(TimePoint now, Findings* findings) {
   std::vector<double> ratios;
   std::vector<std::pair<Key, const Stream*>> paced;
   std::unordered_map<Key, double> ratio_of;
@@ -143,11 +155,13 @@
   if (ratios.size() < kLeastStreams) {
     return;
   }
-  // The quarter with the best pace is taken as usual, since half of the engines may be slow.
+  // The quarter with the best pace is taken as usual, since half of the engines may be slow. The
+  // best pace seen is remembered for the time when most paths have a slow engine.
   const size_t quarter = ratios.size() / 4;
   std::nth_element(ratios.begin(), ratios.begin() + static_cast<std::ptrdiff_t>(quarter),
                    ratios.end());
-  const double usual = std::max(1e-3, ratios[quarter]);
+  m_usual = std::min(std::max(1e-3, ratios[quarter]), m_usual * kUsualGrowth);
+  const double usual = m_usual;
   // An engine is at most as slow as its fastest stream.
   for (const auto& [key, stream] : paced) {
     const double slowdown = std::min(kMostSlowdown, std::max(1.0, ratio_of[key] / usual));
@@ -156,20 +170,6 @@
       found->second = std::min(found->second, slowdown);
     }
   }
-  for (const auto& [key, stream] : paced) {
-    if (findings->held_up.size() >= kHeldUpPerTick) {
-      return;
-    }
-    if (std::max(stream->gap_ms, PauseMs(now, stream->last_event)) < kHeldUpMs) {
-      continue;
-    }
-    for (const std::string& engine : stream->engines) {
-      if (findings->slowdowns[engine] > kHeldUpSlowdown) {
-        findings->held_up.emplace_back(key, engine);
-        break;
-      }
-    }
-  }
 }
 
 }  // namespace azuregw
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -46,8 +46,13 @@
 // New streams avoid an engine that stopped for this long, then try it again.
 constexpr Milliseconds kStoppedFor{1500};
 // An engine that works answers within about 5 ms; streams have to move within 200 ms of silence.
-constexpr Milliseconds kAskLimit{60};
+constexpr Milliseconds kAskLimit{40};
 constexpr Milliseconds kAskAgain{150};
+// Engines whose streams are all this much slower than usual are asked for their pace.
+constexpr double kAskPaceAt = 2.0;
+constexpr Milliseconds kAskPaceAgain{700};
+// A stream leaves an engine that says it is slower than this, if its pauses make it late.
+constexpr double kSlowPace = 2.5;
 constexpr Milliseconds kQueueTick{25};
 // Instances that share the load while their number is not known.
 constexpr int kAssumedInstances = 8;
@@ -227,15 +232,15 @@
     m_monitor_timer = m_loop->After(StreamMonitor::kTick, [this] {
       const TimePoint now = m_loop->Now();
       const StreamMonitor::Findings findings = m_monitor.Tick(now);
-      for (const auto& [id, factor] : findings.slowdowns) {
-        m_fleet.OnPace(id, factor, now);
+      for (const auto& [id, slowdown] : findings.slowdowns) {
+        if (slowdown > kAskPaceAt) {
+          AskPace(id, now);
+        }
       }
+      LeaveSlow(now);
       for (const std::string& id : findings.silent) {
         AskSilent(id, now);
       }
-      for (const auto& [stream, id] : findings.held_up) {
-        stream->LeaveEngine(id, false);
-      }
       TickMonitor();
     });
   }
@@ -270,6 +275,45 @@
         });
   }
 
+  // Asks an engine that seems slow for its pace, unless it is known. The pace is shared with the
+  // load, so that one instance asks for all.
+  void AskPace(const std::string& id, TimePoint now) {
+    const Upstream* const upstream = m_fleet.Find(id);
+    if (upstream == nullptr || now < upstream->slowdown_until) {
+      return;
+    }
+    TimePoint& asked = m_asked_pace[id];
+    if (now - asked < kAskPaceAgain) {
+      return;
+    }
+    asked = now;
+    m_platform.engines->QueryReport(
+        upstream->record.address, EngineControl::kReportTimeLimit,
+        [this, id](const Result<EngineReport>& report) {
+          if (!report) {
+            return;  // Its streams tell whether it stopped.
+          }
+          const double pace = report.value().pace;
+          if (pace > kSlowPace) {
+            m_log->Write("upstream_slow", {{"upstream", id}, {"pace", pace}}, false);
+          }
+          m_fleet.OnPace(id, pace, m_loop->Now());
+        });
+  }
+
+  // Lets one stream a tick leave each engine that is known to be slow; all at once would overfill
+  // the others.
+  void LeaveSlow(TimePoint now) {
+    for (const auto& [id, upstream] : m_fleet.All()) {
+      if (now < upstream.slowdown_until && upstream.slowdown > kSlowPace) {
+        if (MonitoredStream* const stream = m_monitor.SlowestOf(id)) {
+          stream->LeaveEngine(id, false);
+          return;
+        }
+      }
+    }
+  }
+
   void LeaveStopped(const std::string& id) {
     for (MonitoredStream* stream : m_monitor.StreamsOf(id)) {
       stream->LeaveEngine(id, true);
@@ -355,6 +399,7 @@
   std::unique_ptr<Timer> m_monitor_timer;
   std::unique_ptr<Timer> m_stop_timer;
   std::unique_ptr<LoadExchange> m_load;
+  std::map<std::string, TimePoint> m_asked_pace;
   std::map<std::string, TimePoint> m_asked;  // When silent engines were asked.
   int m_last_instances = kAssumedInstances;  // As last known.
   bool m_stopping = false;
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -36,6 +36,10 @@
 constexpr Milliseconds kBrokenFor{1500};
 constexpr Milliseconds kNamedFor{1000};
 constexpr Milliseconds kSilentFor{1500};
+// An engine whose streams made progress this lately works, whatever it refuses.
+constexpr Milliseconds kWorkedLately{300};
+// A full engine has memory again as soon as one of its streams ends, some 20 times a second.
+constexpr Milliseconds kFullFor{200};
 // Silence after which the path is examined. Callers give up after 2 s; events come every 30 to 60
 // ms.
 constexpr Milliseconds kFirstEventSilence{700};
@@ -47,6 +51,8 @@
 constexpr Milliseconds kLeastTimeToMove{300};
 // Changes of one request's path; each is an order that costs about a twentieth of an answer.
 constexpr int kMaxRepaths = 3;
+// All streams of a stopped engine choose again at once, with the same view of the load.
+constexpr double kRepathSpread = 1.0;
 // Longest wait of a broken stream for a path with memory.
 constexpr Milliseconds kResumeWait{1200};
 // Largest failure that is kept for the caller.
@@ -280,6 +286,7 @@
     query.excluded.insert(engine);
     query.max_load = kMaxLoadResumed;
     query.max_slowdown = kMaxSlowdown;
+    query.spread = kRepathSpread;
     PathProblem problem = PathProblem::kNoCover;
     std::optional<EnginePath> path = m_context->paths->Choose(*m_context->fleet, query, &problem);
     if (!path) {
@@ -304,7 +311,16 @@
                   std::to_string(std::chrono::duration_cast<Milliseconds>(Now() - asked).count()) +
                   " ms ago");
           if (!moved) {
-            if (MayResend() && m_last_bytes <= asked) {
+            // An engine that was to replace the other one is not there or has no room.
+            for (const PathHop& hop : path.hops) {
+              const bool kept =
+                  std::any_of(m_path.hops.begin(), m_path.hops.end(),
+                              [&hop](const PathHop& present) { return present.id == hop.id; });
+              if (!kept) {
+                m_excluded.insert(hop.id);
+              }
+            }
+            if (m_last_bytes <= asked && !Repath(engine) && MayResend()) {
               MoveAwayFrom({engine}, "an engine stopped, and the path could not be changed");
             }
             return;
@@ -383,7 +399,14 @@
         }
       }
       LogAttempt("not_run", reason + " from " + fault);
-      SuspectEngine(fault, kNamedFor, reason);
+      const Upstream* const upstream = m_context->fleet->Find(fault);
+      if (upstream != nullptr && Now() - upstream->last_progress < kWorkedLately) {
+        // It works, so it is short of memory or gives layers up; its streams need no help.
+        m_excluded.insert(fault);
+        m_context->fleet->MarkFull(fault, kFullFor, Now());
+      } else {
+        SuspectEngine(fault, kNamedFor, reason);
+      }
       Again("engines refuse work: " + reason, true);
       return;
     }
--- a/src/sync/load_exchange.cc
+++ b/src/sync/load_exchange.cc
@@ -51,6 +51,13 @@
     entry->stopped = suspect.stopped;
     message.suspects.push_back(std::move(entry));
   }
+  for (const PaceReport& pace : report.paces) {
+    auto entry = std::make_unique<wire::PaceEntryT>();
+    entry->id = pace.id;
+    entry->pace = static_cast<float>(pace.pace);
+    entry->remaining_ms = static_cast<uint32_t>(pace.remaining.count());
+    message.paces.push_back(std::move(entry));
+  }
   flatbuffers::FlatBufferBuilder builder;
   wire::FinishFleetLoadBuffer(builder, wire::FleetLoad::Pack(builder, &message));
   return EncodeFrame({builder.GetBufferPointer(), builder.GetSize()});
@@ -72,6 +79,9 @@
   for (const auto& entry : message->suspects) {
     report.suspects.push_back({entry->id, Milliseconds(entry->remaining_ms), entry->stopped});
   }
+  for (const auto& entry : message->paces) {
+    report.paces.push_back({entry->id, entry->pace, Milliseconds(entry->remaining_ms)});
+  }
   return report;
 }
 
