--- a/include/azuregw/fleet/path_selector.h
+++ b/include/azuregw/fleet/path_selector.h
@@ -29,6 +29,7 @@
 
 struct EnginePath {
   std::vector<PathHop> hops;
+  std::string fullest;   // The engine with the peak load.
   double cost_ms = 0;    // Of one token, with what load and slowness add.
   double step_ms = 0;    // Time of one token if every engine keeps its usual pace.
   double peak_load = 0;  // Of its fullest engine with this request; 1 is all of its memory.
--- a/src/fleet/path_selector.cc
+++ b/src/fleet/path_selector.cc
@@ -20,6 +20,8 @@
 // Extra cost of a hop to another failure domain, in ms per token, beside its delay. A prompt
 // crosses a pipe that all engines share, which saturates at about one crossing per request.
 constexpr double kCrossDomainMs = 6.0;
+// Searches for a path that no engine's room excludes.
+constexpr int kMaxRounds = 3;
 // Delay of a hop inside a failure domain, in ms.
 constexpr double kLocalHopMs = 0.2;
 
@@ -55,7 +57,16 @@
 
 std::optional<EnginePath> PathSelector::Choose(const Fleet& fleet, const PathQuery& query,
                                                PathProblem* problem) const {
-  std::optional<EnginePath> path = Search(fleet, query, false);
+  PathQuery narrowed = query;
+  std::optional<EnginePath> path = Search(fleet, narrowed, false);
+  // An engine that serves what lies between two of its parts may get more than it has room for.
+  for (int round = 0; round < kMaxRounds && path && path->peak_load > query.max_load; ++round) {
+    narrowed.excluded.insert(path->fullest);
+    path = Search(fleet, narrowed, false);
+  }
+  if (path && path->peak_load > query.max_load) {
+    path.reset();
+  }
   if (!path) {
     *problem = Search(fleet, query, true) ? PathProblem::kNoMemory : PathProblem::kNoCover;
   }
@@ -184,7 +195,10 @@
     path.hops.push_back({record.id, record.address, range});
     const double load =
         candidate.used + query.tokens * (range.last - range.first) / candidate.capacity;
-    path.peak_load = std::max(path.peak_load, load);
+    if (load > path.peak_load) {
+      path.peak_load = load;
+      path.fullest = record.id;
+    }
     const double context =
         candidate.used * candidate.capacity /
         (candidate.upstream->record.layers->last - candidate.upstream->record.layers->first);
--- a/src/forward/caller_listener.cc
+++ b/src/forward/caller_listener.cc
@@ -44,13 +44,15 @@
 // After a failure to accept, such as too few descriptors.
 constexpr Milliseconds kAcceptRetry{50};
 
-class BeastListener;
+class CallerConnection;
+// Connections may outlive the listener in handlers that wait in the loop.
+using ConnectionSet = std::set<CallerConnection*>;
 
 class CallerConnection final : public CallerResponder,
                                public std::enable_shared_from_this<CallerConnection> {
  public:
-  CallerConnection(BeastListener* listener, ForwardContext* context, asio::io_context* io,
-                   tcp::socket socket);
+  CallerConnection(std::shared_ptr<ConnectionSet> set, ForwardContext* context,
+                   asio::io_context* io, tcp::socket socket);
   ~CallerConnection() override;
 
   void Start() { ReadHeader(); }
@@ -91,7 +93,7 @@
   void Close();
   void DropExchange();
 
-  BeastListener* const m_listener;
+  const std::shared_ptr<ConnectionSet> m_set;
   ForwardContext* const m_context;
   asio::io_context* const m_io;
   tcp::socket m_socket;
@@ -155,7 +157,7 @@
       error_code ignored;  // The option only improves latency.
       socket.set_option(tcp::no_delay(true), ignored);
       auto connection =
-          std::make_shared<CallerConnection>(this, m_context, m_io, std::move(socket));
+          std::make_shared<CallerConnection>(m_connections, m_context, m_io, std::move(socket));
       if (m_draining) {
         connection->Drain();
       }
@@ -166,37 +168,33 @@
 
   void Drain() override {
     m_draining = true;
-    const std::set<CallerConnection*> connections = m_connections;
-    for (CallerConnection* connection : connections) {
+    for (CallerConnection* connection : *m_connections) {
       connection->Drain();
     }
   }
-  int Connections() const override { return static_cast<int>(m_connections.size()); }
+  int Connections() const override { return static_cast<int>(m_connections->size()); }
   int ActiveExchanges() const override {
     return static_cast<int>(
-        std::count_if(m_connections.begin(), m_connections.end(),
+        std::count_if(m_connections->begin(), m_connections->end(),
                       [](const CallerConnection* connection) { return connection->Active(); }));
   }
 
-  void Add(CallerConnection* connection) { m_connections.insert(connection); }
-  void Remove(CallerConnection* connection) { m_connections.erase(connection); }
-
  private:
   asio::io_context* const m_io;
   ForwardContext* const m_context;
   tcp::acceptor m_acceptor;
   asio::steady_timer m_retry;
-  std::set<CallerConnection*> m_connections;
+  const std::shared_ptr<ConnectionSet> m_connections = std::make_shared<ConnectionSet>();
   bool m_draining = false;
 };
 
-CallerConnection::CallerConnection(BeastListener* listener, ForwardContext* context,
+CallerConnection::CallerConnection(std::shared_ptr<ConnectionSet> set, ForwardContext* context,
                                    asio::io_context* io, tcp::socket socket)
-    : m_listener(listener), m_context(context), m_io(io), m_socket(std::move(socket)) {
-  m_listener->Add(this);
+    : m_set(std::move(set)), m_context(context), m_io(io), m_socket(std::move(socket)) {
+  m_set->insert(this);
 }
 
-CallerConnection::~CallerConnection() { m_listener->Remove(this); }
+CallerConnection::~CallerConnection() { m_set->erase(this); }
 
 void CallerConnection::Expire(Milliseconds delay) {
   m_timer = m_context->loop->After(delay, [self = weak_from_this()] {
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -368,6 +368,7 @@
     }
     const TimePoint now = Now();
     if (!m_head_sent) {
+      WatchSilence();  // From now on, a shorter silence is too long.
       m_head_sent = true;
       m_first_event = std::chrono::duration_cast<Milliseconds>(now - m_request.arrived);
       m_context->metrics->Observe("azuregw_first_event_ms", "",
--- a/src/logging/decision_log.cc
+++ b/src/logging/decision_log.cc
@@ -88,7 +88,9 @@
                                    {"instance", m_options.instance},
                                    {"failure_domain", m_options.failure_domain},
                                    {"event", event}};
-    line.update(fields);
+    if (fields.is_object()) {
+      line.update(fields);
+    }
     std::string text = line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
     text.push_back('\n');
     if (m_buffer.size() + text.size() > kMaxBufferBytes) {
--- a/src/sync/config_watcher.cc
+++ b/src/sync/config_watcher.cc
@@ -97,7 +97,9 @@
                      }
                    }
                    if (readable) {
-                     OnContact(sent);
+                     // An answer without changes tells the state at its end, not at its beginning.
+                     const TimePoint waited = sent + kWatchWait;
+                     OnContact(!changed && m_loop->Now() >= waited ? waited : sent);
                    }
                    if (changed) {
                      Later(kAfterChange, &ConfigWatcher::Watch);
--- a/tests/fakes/scripted_server.h
+++ b/tests/fakes/scripted_server.h
@@ -28,6 +28,7 @@
     Act act = Act::kReply;
     int status = 200;
     std::string body;
+    std::string raw;  // Not empty: sent as it is, in place of an answer made from the above.
   };
   // `index` counts requests from 0; `request` is the head and the body.
   using Script = std::function<Step(size_t index, const std::string& request)>;
@@ -101,9 +102,11 @@
         }
         break;
       }
-      const std::string reply = "HTTP/1.1 " + std::to_string(step.status) +
-                                " X\r\nContent-Type: application/json\r\nContent-Length: " +
-                                std::to_string(step.body.size()) + "\r\n\r\n" + step.body;
+      const std::string reply =
+          !step.raw.empty() ? step.raw
+                            : "HTTP/1.1 " + std::to_string(step.status) +
+                                  " X\r\nContent-Type: application/json\r\nContent-Length: " +
+                                  std::to_string(step.body.size()) + "\r\n\r\n" + step.body;
       if (send(fd, reply.data(), reply.size(), MSG_NOSIGNAL) < 0 ||
           step.act == Act::kReplyAndClose) {
         break;
--- /dev/null
+++ b/tests/fleet/fleet_test.cc
@@ -0,0 +1,162 @@
+// Beliefs about upstreams, and the load that instances share.
+
+#include "azuregw/fleet/fleet.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "azuregw/fleet/load_ledger.h"
+#include "azuregw/fleet/upstream_picker.h"
+#include "tests/support/engine_fixture.h"
+
+namespace azuregw {
+namespace {
+
+const TimePoint kNow{std::chrono::hours(1)};
+
+UpstreamRecord Plain(const std::string& id, const std::string& domain) {
+  UpstreamRecord record = EngineRecordOf(id, domain, "", std::nullopt);
+  record.service = "orders";
+  record.slots = 6;
+  return record;
+}
+
+BOOST_AUTO_TEST_SUITE(fleet)
+
+BOOST_AUTO_TEST_CASE(removed_entry_is_gone_at_once_in_calm_times) {
+  Fleet fleet;
+  fleet.Update({Plain("s1", "a"), Plain("s2", "a")}, false, kNow);
+  const auto changes = fleet.Update({Plain("s2", "a")}, false, kNow);
+  BOOST_REQUIRE(changes.size() == 1U);
+  BOOST_TEST((changes[0].kind == FleetChange::Kind::kRemoved));
+  BOOST_TEST(fleet.Find("s1") == nullptr);
+}
+
+// Guards against an empty fleet right after an outage in which the entries of live upstreams
+// lapsed; they are listed again within 2 s, and those that are not are gone.
+BOOST_AUTO_TEST_CASE(entries_that_lapsed_in_an_outage_are_kept_for_the_grace) {
+  Fleet fleet;
+  fleet.Update({Plain("s1", "a"), Plain("s2", "a")}, false, kNow);
+  BOOST_TEST(fleet.Update({}, true, kNow).empty());
+  BOOST_TEST(fleet.All().size() == 2U);
+  fleet.Update({Plain("s1", "a")}, false, kNow + Milliseconds(800));
+  BOOST_TEST(fleet.All().size() == 2U);
+  fleet.Update({Plain("s1", "a")}, false, kNow + Fleet::kRelistGrace + Milliseconds(1));
+  BOOST_TEST(fleet.All().size() == 1U);
+  BOOST_TEST(fleet.Find("s1") != nullptr);
+}
+
+// Guards against a restarted upstream that is still held to be broken.
+BOOST_AUTO_TEST_CASE(restart_under_the_same_id_clears_suspicion) {
+  Fleet fleet;
+  fleet.Update({Plain("s1", "a")}, false, kNow);
+  BOOST_TEST(fleet.Suspect("s1", Milliseconds(5000), kNow));
+  BOOST_TEST(!fleet.Suspect("s1", Milliseconds(1000), kNow));  // No news.
+  BOOST_TEST(!fleet.Find("s1")->Usable(kNow));
+  UpstreamRecord again = Plain("s1", "a");
+  again.started_ms = 2;
+  fleet.Update({again}, false, kNow);
+  BOOST_TEST(fleet.Find("s1")->Usable(kNow));
+}
+
+BOOST_AUTO_TEST_CASE(draining_upstream_gets_no_new_work) {
+  Fleet fleet;
+  UpstreamRecord leaving = Plain("s1", "a");
+  leaving.draining = true;
+  fleet.Update({leaving, Plain("s2", "b")}, false, kNow);
+  const auto random = MakeRandom(1);
+  PickQuery query{"orders", "a", {}, kNow};
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(PickUpstream(fleet, query, random.get()) == "s2");
+  }
+  query.excluded.insert("s2");
+  BOOST_TEST(PickUpstream(fleet, query, random.get()).empty());
+}
+
+// Load pattern: one of three upstreams stops answering. Guards against work for it, and against a
+// refusal when all are suspect.
+BOOST_AUTO_TEST_CASE(suspects_are_picked_last) {
+  Fleet fleet;
+  fleet.Update({Plain("s1", "a"), Plain("s2", "b"), Plain("s3", "b")}, false, kNow);
+  fleet.Suspect("s1", Milliseconds(1000), kNow);
+  const auto random = MakeRandom(1);
+  PickQuery query{"orders", "a", {}, kNow};
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(PickUpstream(fleet, query, random.get()) != "s1");
+  }
+  query.excluded = {"s2", "s3"};
+  BOOST_TEST(PickUpstream(fleet, query, random.get()) == "s1");
+}
+
+BOOST_AUTO_TEST_CASE(least_loaded_upstream_is_picked) {
+  Fleet fleet;
+  fleet.Update({Plain("s1", "a"), Plain("s2", "a")}, false, kNow);
+  fleet.Reserve("s1", 0);
+  fleet.Reserve("s1", 0);
+  const auto random = MakeRandom(1);
+  BOOST_TEST(PickUpstream(fleet, {"orders", "a", {}, kNow}, random.get()) == "s2");
+  fleet.OnReportedLoad("s2", 12, kNow);
+  BOOST_TEST(PickUpstream(fleet, {"orders", "a", {}, kNow}, random.get()) == "s1");
+  // Its account grows old.
+  BOOST_TEST(PickUpstream(fleet, {"orders", "a", {}, kNow + Milliseconds(600)}, random.get()) ==
+             "s2");
+}
+
+// Guards against an instance that counts its own load twice, or keeps that of a dead one.
+BOOST_AUTO_TEST_CASE(others_are_summed_without_the_asker_and_the_dead) {
+  LoadLedger ledger;
+  for (const char* name : {"i1", "i2", "i3"}) {
+    LoadReport report;
+    report.instance = name;
+    report.loads["e"] = {10, 1};
+    ledger.Add(report, kNow);
+  }
+  LoadReport others = ledger.OthersOf("i1", kNow);
+  BOOST_TEST(others.instances == 3);
+  BOOST_TEST(others.loads["e"].token_layers == 20);
+  BOOST_TEST(others.loads["e"].requests == 2);
+  const TimePoint later = kNow + LoadLedger::kReportLife;
+  LoadReport fresh;
+  fresh.instance = "i2";
+  fresh.loads["e"] = {7, 1};
+  ledger.Add(fresh, later);
+  others = ledger.OthersOf("i1", later + Milliseconds(1));
+  BOOST_TEST(others.instances == 2);
+  BOOST_TEST(others.loads["e"].token_layers == 7);
+}
+
+// Guards against a suspicion that travels in circles and never ends.
+BOOST_AUTO_TEST_CASE(suspicion_of_others_is_not_passed_on) {
+  Fleet first;
+  Fleet second;
+  first.Update({Plain("s1", "a")}, false, kNow);
+  second.Update({Plain("s1", "a")}, false, kNow);
+  first.MarkStopped("s1", Milliseconds(1000), kNow);
+  const LoadReport report = OwnLoad(first, "i1", kNow + Milliseconds(400));
+  BOOST_REQUIRE(report.suspects.size() == 1U);
+  BOOST_TEST(report.suspects[0].stopped);
+  BOOST_TEST((report.suspects[0].remaining == Milliseconds(600)));
+  ApplyOthers(report, &second, kNow + Milliseconds(400));
+  BOOST_TEST(!second.Find("s1")->Usable(kNow + Milliseconds(900)));
+  BOOST_TEST(second.Find("s1")->Usable(kNow + Milliseconds(1001)));
+  BOOST_TEST(OwnLoad(second, "i2", kNow + Milliseconds(500)).suspects.empty());
+}
+
+// Guards against reservations that outlive their engine and close it for ever.
+BOOST_AUTO_TEST_CASE(release_never_goes_below_zero) {
+  Fleet fleet;
+  fleet.Update({Plain("s1", "a")}, false, kNow);
+  fleet.Reserve("s1", 100);
+  fleet.Update({}, false, kNow);
+  fleet.Update({Plain("s1", "a")}, false, kNow);
+  fleet.Release("s1", 100);
+  BOOST_TEST(fleet.Find("s1")->own.token_layers == 0);
+  BOOST_TEST(fleet.Find("s1")->own.requests == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace azuregw
--- /dev/null
+++ b/tests/forward/caller_listener_test.cc
@@ -0,0 +1,221 @@
+// Callers' connections on real sockets.
+
+#include "azuregw/forward/caller_listener.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "tests/support/fake_gateway.h"
+
+namespace azuregw {
+namespace {
+
+// Finds a port that is free now.
+uint16_t FreePort() {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t length = sizeof(address);
+  BOOST_REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&address), length) == 0);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
+  close(fd);
+  return ntohs(address.sin_port);
+}
+
+class Caller {
+ public:
+  explicit Caller(uint16_t port) : m_fd(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    BOOST_REQUIRE(connect(m_fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+  }
+  ~Caller() { Close(); }
+  void Close() {
+    if (m_fd >= 0) {
+      close(m_fd);
+      m_fd = -1;
+    }
+  }
+  void Send(const std::string& text) {
+    BOOST_REQUIRE(send(m_fd, text.data(), text.size(), MSG_NOSIGNAL) ==
+                  static_cast<ssize_t>(text.size()));
+  }
+  // What has arrived so far. Sets `ended` when the connection was closed or reset.
+  std::string Received() {
+    char buffer[4096];
+    while (true) {
+      const ssize_t count = recv(m_fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+      if (count > 0) {
+        m_received.append(buffer, static_cast<size_t>(count));
+        continue;
+      }
+      ended = ended || count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+      return m_received;
+    }
+  }
+  bool ended = false;
+
+ private:
+  int m_fd;
+  std::string m_received;
+};
+
+struct Fixture : GatewayFixture {
+  Fixture() : real_loop(MakeEventLoop(&io)) {
+    context.loop = real_loop.get();
+    context.settings.caller_address = {boost::asio::ip::make_address("127.0.0.1"), FreePort()};
+    auto made = MakeCallerListener(&io, &context);
+    BOOST_REQUIRE(made.has_value());
+    listener = std::move(made.value());
+    listener->Accept();
+  }
+  // Exchanges that end with the loop read the time.
+  ~Fixture() { context.loop = &loop; }
+  // Runs the loop until `condition` holds; 20 s cover a busy machine.
+  bool Until(const std::function<bool()>& condition) {
+    const TimePoint end = real_loop->Now() + Milliseconds(20000);
+    while (!condition() && real_loop->Now() < end) {
+      io.restart();
+      io.run_for(Milliseconds(2));
+    }
+    return condition();
+  }
+  std::string Request(const std::string& target, const std::string& more = "") {
+    return "POST " + target + " HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: k\r\n" + more +
+           "Content-Length: 2\r\n\r\nhi";
+  }
+  uint16_t Port() const { return context.settings.caller_address.port(); }
+
+  boost::asio::io_context io;
+  std::unique_ptr<EventLoop> real_loop;
+  std::unique_ptr<CallerListener> listener;
+};
+
+BOOST_AUTO_TEST_SUITE(caller_listener)
+
+BOOST_AUTO_TEST_CASE(connection_is_kept_for_further_requests) {
+  Fixture f;
+  Caller caller(f.Port());
+  for (size_t i = 0; i < 2; ++i) {
+    caller.Send(f.Request("/order/" + std::to_string(i)));
+    BOOST_REQUIRE(f.Until([&] { return f.client.calls.size() == i + 1; }));
+    BOOST_TEST(f.Call(i).request.body() == "hi");
+    f.Call(i).Answer(200, "answer" + std::to_string(i));
+    BOOST_TEST(f.Until(
+        [&] { return caller.Received().find("answer" + std::to_string(i)) != std::string::npos; }));
+  }
+  BOOST_TEST(!caller.ended);
+}
+
+BOOST_AUTO_TEST_CASE(chunked_request_bodies_are_taken) {
+  Fixture f;
+  Caller caller(f.Port());
+  caller.Send(
+      "POST /order/1 HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: k\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n");
+  caller.Send("2\r\nde\r\n0\r\n\r\n");
+  BOOST_REQUIRE(f.Until([&] { return f.client.calls.size() == 1; }));
+  BOOST_TEST(f.Call(0).request.body() == "abcde");
+}
+
+// Guards against a connection that is destroyed while its request is being answered, and against
+// work that goes on after the caller hung up.
+BOOST_AUTO_TEST_CASE(hang_up_stops_the_work_at_once) {
+  Fixture f;
+  Caller caller(f.Port());
+  caller.Send(f.Request("/stream/1"));
+  BOOST_REQUIRE(f.Until([&] { return f.client.calls.size() == 1; }));
+  f.io.restart();
+  f.io.run_for(Milliseconds(20));
+  BOOST_TEST(!f.Call(0).Cancelled());
+  caller.Close();
+  BOOST_TEST(f.Until([&] { return f.Call(0).Cancelled(); }));
+  BOOST_TEST(f.Until([&] { return f.listener->Connections() == 0; }));
+}
+
+BOOST_AUTO_TEST_CASE(streams_are_sent_in_chunks_and_ended) {
+  Fixture f;
+  Caller caller(f.Port());
+  caller.Send(f.Request("/stream/1"));
+  BOOST_REQUIRE(f.Until([&] { return f.client.calls.size() == 1; }));
+  f.Call(0).Head(200, true);
+  f.Call(0).Body("id: 1\ndata: x\n\n");
+  BOOST_TEST(f.Until([&] { return caller.Received().find("data: x") != std::string::npos; }));
+  BOOST_TEST(caller.Received().find("0\r\n\r\n") == std::string::npos);
+  f.Call(0).Done();
+  BOOST_TEST(f.Until([&] { return caller.Received().find("0\r\n\r\n") != std::string::npos; }));
+}
+
+// Guards against an answer that is cut short but looks complete.
+BOOST_AUTO_TEST_CASE(broken_stream_has_no_last_chunk) {
+  Fixture f;
+  Caller caller(f.Port());
+  caller.Send(f.Request("/stream/1"));
+  for (size_t i = 0; i < 2; ++i) {
+    BOOST_REQUIRE(f.Until([&] { return f.client.calls.size() == i + 1; }));
+    f.Call(i).Head(200, true);
+    f.Call(i).Body("id: " + std::to_string(i + 1) + "\ndata: x\n\n");
+    f.Call(i).Fail(true);
+  }
+  BOOST_TEST(f.Until([&] {
+    caller.Received();
+    return caller.ended;
+  }));
+  BOOST_TEST(caller.Received().find("0\r\n\r\n") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(limits_of_the_configuration_hold) {
+  Fixture f;
+  Caller large_header(f.Port());
+  large_header.Send("GET /order/1 HTTP/1.1\r\nHost: h\r\nX: " + std::string(20000, 'x'));
+  BOOST_TEST(
+      f.Until([&] { return large_header.Received().find("HTTP/1.1 431 ") != std::string::npos; }));
+  Caller large_body(f.Port());
+  large_body.Send("POST /order/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n");
+  BOOST_TEST(
+      f.Until([&] { return large_body.Received().find("HTTP/1.1 413 ") != std::string::npos; }));
+  BOOST_TEST(f.client.calls.empty());
+}
+
+// Guards against a request that is hidden in the body of another one.
+BOOST_AUTO_TEST_CASE(ambiguous_framing_is_refused) {
+  Fixture f;
+  Caller caller(f.Port());
+  caller.Send(
+      "POST /order/1 HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: k\r\nContent-Length: 4\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST /order/2 HTTP/1.1\r\n\r\n");
+  BOOST_TEST(f.Until([&] { return !caller.Received().empty() || caller.ended; }));
+  BOOST_TEST(f.client.calls.empty());
+}
+
+// Guards against a stop that cuts answers or leaves callers on a connection that ends.
+BOOST_AUTO_TEST_CASE(draining_ends_connections_after_their_answer) {
+  Fixture f;
+  Caller caller(f.Port());
+  caller.Send(f.Request("/order/1"));
+  BOOST_REQUIRE(f.Until([&] { return f.client.calls.size() == 1; }));
+  f.listener->Drain();
+  f.Call(0).Answer(200, "answer");
+  BOOST_TEST(f.Until([&] {
+    caller.Received();
+    return caller.ended;
+  }));
+  BOOST_TEST(caller.Received().find("answer") != std::string::npos);
+  BOOST_TEST(caller.Received().find("Connection: close") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace azuregw
--- /dev/null
+++ b/tests/net/http_client_test.cc
@@ -0,0 +1,190 @@
+// The asynchronous HTTP client against a scripted server.
+
+#include "azuregw/net/http_client.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "tests/fakes/scripted_server.h"
+
+namespace azuregw {
+namespace {
+
+namespace http = boost::beast::http;
+
+boost::asio::ip::tcp::endpoint EndpointOf(const std::string& address) {
+  const size_t colon = address.find(':');
+  return {boost::asio::ip::make_address(address.substr(0, colon)),
+          static_cast<uint16_t>(std::stoi(address.substr(colon + 1)))};
+}
+
+class Recorder final : public HttpCallHandler {
+ public:
+  bool OnHead(const HttpResponseHead& head) override {
+    status = static_cast<int>(head.result_int());
+    return head["X-Id"].empty() || head["X-Id"] == "mine";
+  }
+  void OnBody(std::string_view bytes) override { body.append(bytes); }
+  void OnDone() override { done = true; }
+  void OnFailed(const HttpFailure& result) override { failure = result; }
+  bool Ended() const { return done || failure.has_value(); }
+
+  int status = 0;
+  std::string body;
+  bool done = false;
+  std::optional<HttpFailure> failure;
+};
+
+struct Fixture {
+  explicit Fixture(ScriptedServer::Script script)
+      : server(std::move(script)), client(MakeHttpClient(&io)) {
+    options.endpoint = EndpointOf(server.Address());
+    options.max_idle = Milliseconds(5000);
+  }
+  void Run(Recorder* recorder, http::verb method = http::verb::get) {
+    HttpRequest request(method, "/x", 11);
+    request.set(http::field::host, "h");
+    request.prepare_payload();
+    call = client->Start(options, std::move(request), recorder);
+    // Bounded by the server's answers; the limit only ends a test that would hang.
+    boost::asio::steady_timer limit(io, std::chrono::seconds(20));
+    limit.async_wait([](boost::system::error_code) {});
+    io.restart();
+    while (!recorder->Ended() && io.run_one() > 0) {
+    }
+  }
+
+  boost::asio::io_context io;
+  ScriptedServer server;
+  std::unique_ptr<HttpClient> client;
+  HttpCallOptions options;
+  std::shared_ptr<ClientCall> call;
+};
+
+ScriptedServer::Step Raw(const std::string& text,
+                         ScriptedServer::Act act = ScriptedServer::Act::kReply) {
+  ScriptedServer::Step step;
+  step.act = act;
+  step.raw = text;
+  return step;
+}
+
+BOOST_AUTO_TEST_SUITE(http_client)
+
+BOOST_AUTO_TEST_CASE(connections_are_used_again) {
+  Fixture f([](size_t index, const std::string&) {
+    return ScriptedServer::Step{ScriptedServer::Act::kReply, 200, std::to_string(index), ""};
+  });
+  for (int i = 0; i < 3; ++i) {
+    Recorder recorder;
+    f.Run(&recorder);
+    BOOST_TEST(recorder.done);
+    BOOST_TEST(recorder.body == std::to_string(i));
+  }
+  BOOST_TEST(f.client->ConnectionsOpened() == 1U);
+  f.options.max_idle = Milliseconds(0);
+  Recorder recorder;
+  f.Run(&recorder);
+  BOOST_TEST(f.client->ConnectionsOpened() == 2U);
+}
+
+// Guards against an order that is sent again, or told not to have run, after its server closed the
+// connection without an answer.
+BOOST_AUTO_TEST_CASE(closed_connection_leaves_the_outcome_open) {
+  Fixture f([](size_t, const std::string&) {
+    return ScriptedServer::Step{ScriptedServer::Act::kClose, 0, "", ""};
+  });
+  Recorder recorder;
+  f.Run(&recorder, http::verb::post);
+  BOOST_REQUIRE(recorder.failure.has_value());
+  BOOST_TEST(recorder.failure->maybe_sent);
+  BOOST_TEST(f.server.Requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(refused_connection_proves_that_nothing_was_sent) {
+  Fixture f([](size_t, const std::string&) { return ScriptedServer::Step{}; });
+  f.options.endpoint.port(1);
+  Recorder recorder;
+  f.Run(&recorder, http::verb::post);
+  BOOST_REQUIRE(recorder.failure.has_value());
+  BOOST_TEST(!recorder.failure->maybe_sent);
+}
+
+// Guards against a broken answer that is taken for a whole one.
+BOOST_AUTO_TEST_CASE(truncated_answer_fails) {
+  Fixture f([](size_t, const std::string&) {
+    return Raw("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort",
+               ScriptedServer::Act::kReplyAndClose);
+  });
+  Recorder recorder;
+  f.Run(&recorder);
+  BOOST_TEST(recorder.status == 200);
+  BOOST_TEST(!recorder.done);
+  BOOST_TEST(recorder.failure.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(answer_without_length_ends_with_its_connection) {
+  Fixture f([](size_t, const std::string&) {
+    return Raw("HTTP/1.1 200 OK\r\n\r\nall of it", ScriptedServer::Act::kReplyAndClose);
+  });
+  Recorder recorder;
+  f.Run(&recorder);
+  BOOST_TEST(recorder.done);
+  BOOST_TEST(recorder.body == "all of it");
+}
+
+// Guards against the answer to another request that arrives late where ours is due.
+BOOST_AUTO_TEST_CASE(answer_to_another_request_is_skipped) {
+  Fixture f([](size_t, const std::string&) {
+    return Raw(
+        "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nwrong"
+        "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 5\r\n\r\nright");
+  });
+  Recorder recorder;
+  f.Run(&recorder);
+  BOOST_TEST(recorder.done);
+  BOOST_TEST(recorder.body == "right");
+}
+
+// Guards against bytes behind an answer that the next request on the connection takes for its own.
+BOOST_AUTO_TEST_CASE(connection_with_bytes_left_over_is_not_kept) {
+  Fixture f([](size_t, const std::string&) {
+    return Raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n");
+  });
+  for (int i = 0; i < 2; ++i) {
+    Recorder recorder;
+    f.Run(&recorder);
+    BOOST_TEST(recorder.body == "ok");
+  }
+  BOOST_TEST(f.client->ConnectionsOpened() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(bytes_that_are_no_answer_are_a_protocol_error) {
+  Fixture f([](size_t, const std::string&) {
+    return Raw("garbage garbage\r\n\r\n", ScriptedServer::Act::kReplyAndClose);
+  });
+  Recorder recorder;
+  f.Run(&recorder);
+  BOOST_REQUIRE(recorder.failure.has_value());
+  BOOST_TEST(recorder.failure->protocol_error);
+}
+
+BOOST_AUTO_TEST_CASE(chunked_bodies_are_passed_on_decoded) {
+  Fixture f([](size_t, const std::string&) {
+    return Raw(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+  });
+  Recorder recorder;
+  f.Run(&recorder);
+  BOOST_TEST(recorder.done);
+  BOOST_TEST(recorder.body == "abcde");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace azuregw
--- /dev/null
+++ b/tests/placement/duty_lease_test.cc
@@ -0,0 +1,108 @@
+// One holder of a duty at a time.
+
+#include "azuregw/placement/duty_lease.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+
+#include "tests/support/fake_async_store.h"
+#include "tests/support/fake_log.h"
+#include "tests/support/fake_loop.h"
+
+namespace azuregw {
+namespace {
+
+struct Fixture {
+  FakeLoop loop;
+  FakeAsyncStore store{&loop};
+  FakeLog log;
+  std::unique_ptr<Random> random = MakeRandom(5);
+  DutyLease first{&loop, &store, random.get(), &log, "duty", "first 10.0.0.1:1"};
+  DutyLease second{&loop, &store, random.get(), &log, "duty", "second 10.0.0.2:1"};
+
+  void Run(int ms) {
+    for (int i = 0; i < ms; i += 10) {
+      store.Expire();
+      loop.Advance(Milliseconds(10));
+      BOOST_REQUIRE(!(first.Held() && second.Held()));
+    }
+  }
+};
+
+BOOST_AUTO_TEST_SUITE(duty_lease)
+
+BOOST_AUTO_TEST_CASE(one_of_two_holds_the_duty_and_the_other_knows_it) {
+  Fixture f;
+  f.first.Start();
+  f.second.Start();
+  f.Run(2500);
+  BOOST_TEST(f.first.Held() != f.second.Held());
+  BOOST_TEST(f.first.HolderValue() == f.second.HolderValue());
+  f.Run(10000);
+  BOOST_TEST(f.first.Held() != f.second.Held());
+  BOOST_TEST(f.log.Count("duty_taken") == 1);
+}
+
+// Guards against two holders whose orders an engine cannot tell apart.
+BOOST_AUTO_TEST_CASE(later_holder_has_a_higher_fencing_token) {
+  Fixture f;
+  f.first.Start();
+  f.Run(1000);
+  BOOST_REQUIRE(f.first.Held());
+  const uint64_t token = f.first.FencingToken();
+  f.second.Start();
+  f.first.Stop();
+  f.Run(2500);
+  BOOST_REQUIRE(f.second.Held());
+  BOOST_TEST(f.second.FencingToken() > token);
+}
+
+// Guards against a holder that was suspended and goes on in the belief that it holds the duty.
+BOOST_AUTO_TEST_CASE(suspended_holder_stops_by_itself) {
+  Fixture f;
+  f.first.Start();
+  f.Run(1000);
+  BOOST_REQUIRE(f.first.Held());
+  f.loop.Suspend(DutyLease::kTtl);
+  BOOST_TEST(!f.first.Held());
+}
+
+BOOST_AUTO_TEST_CASE(outage_ends_the_duty_before_the_lease) {
+  Fixture f;
+  f.first.Start();
+  f.Run(1000);
+  BOOST_REQUIRE(f.first.Held());
+  f.store.m_down = true;
+  f.loop.Advance(DutyLease::kTtl);
+  BOOST_TEST(!f.first.Held());
+  f.store.m_down = false;
+  f.Run(6000);
+  BOOST_TEST(f.first.Held());
+}
+
+// Guards against a duty that nobody holds because the answer to its creation was lost.
+BOOST_AUTO_TEST_CASE(lost_answer_of_the_creation_is_read_back) {
+  Fixture f;
+  f.store.m_lose_answers = true;
+  f.first.Start();
+  f.Run(1000);
+  BOOST_TEST(f.first.Held());
+  BOOST_TEST(f.first.FencingToken() > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(stepping_down_takes_a_new_token_later) {
+  Fixture f;
+  f.first.Start();
+  f.Run(1000);
+  const uint64_t token = f.first.FencingToken();
+  f.first.StepDown("fenced");
+  BOOST_TEST(!f.first.Held());
+  f.Run(8000);
+  BOOST_TEST(f.first.Held());
+  BOOST_TEST(f.first.FencingToken() > token);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace azuregw
--- /dev/null
+++ b/tests/platform/store_client_test.cc
@@ -0,0 +1,186 @@
+// The store's client against a scripted stand-in.
+
+#include "platform/store_client.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "platform/json_call.h"
+#include "tests/fakes/scripted_server.h"
+
+namespace azuregw::platform {
+namespace {
+
+using nlohmann::json;
+
+struct Fixture {
+  explicit Fixture(ScriptedServer::Script script)
+      : server(std::move(script)),
+        loop(MakeEventLoop(&io)),
+        client(MakeHttpClient(&io)),
+        store(MakeStoreClient(loop.get(), client.get(), *ParseEndpoint(server.Address()))) {}
+
+  // Runs the loop until `result` is set; calls end by themselves at their time limit.
+  template <class T>
+  const Result<T>& Wait(const std::optional<Result<T>>& result) {
+    io.restart();
+    while (!result && io.run_one() > 0) {
+    }
+    BOOST_REQUIRE(result.has_value());
+    return *result;
+  }
+
+  boost::asio::io_context io;
+  ScriptedServer server;
+  std::unique_ptr<EventLoop> loop;
+  std::unique_ptr<HttpClient> client;
+  std::unique_ptr<AsyncKeyValueStore> store;
+};
+
+ScriptedServer::Step Reply(int status, const json& body) {
+  ScriptedServer::Step step;
+  step.status = status;
+  step.body = body.dump();
+  return step;
+}
+
+BOOST_AUTO_TEST_SUITE(store_client)
+
+BOOST_AUTO_TEST_CASE(values_are_decoded_and_missing_keys_told) {
+  Fixture f([](size_t index, const std::string&) {
+    return index == 0 ? Reply(200, {{"key", "a b"},
+                                    {"value", "bm9kZS0x"},
+                                    {"revision", 412},
+                                    {"lease", 0},
+                                    {"currentRev", 530}})
+                      : Reply(404, {{"currentRev", 531}});
+  });
+  std::optional<Result<KvReading>> result;
+  f.store->Get("a b", ReadMode::kBounded, [&](Result<KvReading> r) { result = std::move(r); });
+  const auto& reading = f.Wait(result);
+  BOOST_REQUIRE(reading.has_value());
+  BOOST_TEST(reading.value().entry->value == "node-1");
+  BOOST_TEST(reading.value().store_revision == 530U);
+  BOOST_TEST(f.server.Requests()[0].find("GET /azuregw/kv-key?key=a%20b&serializable=1 ") == 0U);
+  result.reset();
+  f.store->Get("none", ReadMode::kNewest, [&](Result<KvReading> r) { result = std::move(r); });
+  BOOST_TEST(!f.Wait(result).value().entry.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(lists_are_read_page_by_page) {
+  Fixture f([](size_t, const std::string& request) {
+    const bool second = request.find("after=servers/i-1") != std::string::npos;
+    return Reply(200, {{"items", json::array({{{"key", second ? "servers/i-2" : "servers/i-1"},
+                                               {"value", "eA=="},
+                                               {"revision", 5}}})},
+                       {"hasMore", !second},
+                       {"currentRev", 9}});
+  });
+  std::optional<Result<KvListing>> result;
+  f.store->List("servers/", ReadMode::kNewest, [&](Result<KvListing> r) { result = std::move(r); });
+  const auto& listing = f.Wait(result);
+  BOOST_REQUIRE(listing.has_value());
+  BOOST_REQUIRE(listing.value().entries.size() == 2U);
+  BOOST_TEST(listing.value().entries[1].key == "servers/i-2");
+  BOOST_TEST(listing.value().entries[1].value == "x");
+}
+
+BOOST_AUTO_TEST_CASE(watch_tells_changes_deletions_and_lost_history) {
+  Fixture f([](size_t index, const std::string&) {
+    if (index == 0) {
+      return Reply(200,
+                   {{"events", json::array({{{"key", "k"}, {"value", "eA=="}, {"revision", 7}},
+                                            {{"key", "l"}, {"revision", 8}, {"deleted", true}}})},
+                    {"currentRev", 8}});
+    }
+    return Reply(410, json::object());
+  });
+  std::optional<Result<KvWatchReply>> result;
+  const auto take = [&](Result<KvWatchReply> r) { result = std::move(r); };
+  f.store->Watch("", 5, Milliseconds(100), take);
+  const auto& reply = f.Wait(result);
+  BOOST_REQUIRE(reply.has_value());
+  BOOST_TEST(reply.value().revision == 8U);
+  BOOST_TEST(reply.value().entries[0].revision == 7U);
+  BOOST_TEST(reply.value().entries[1].revision == 0U);
+  result.reset();
+  f.store->Watch("", 5, Milliseconds(100), take);
+  BOOST_TEST((f.Wait(result).error().code == ResultCode::kKvHistoryGone));
+}
+
+// Guards against a write without an answer that is taken for one that was not made.
+BOOST_AUTO_TEST_CASE(write_without_answer_has_an_unknown_outcome) {
+  Fixture f([](size_t index, const std::string&) {
+    switch (index) {
+      case 0:
+        return Reply(200, {{"revision", 412}});
+      case 1:
+        return Reply(412, {{"items", json::array()}});
+      case 2:
+        return Reply(404, json::object());
+      case 3:
+        return Reply(503, json::object());
+      default:
+        return ScriptedServer::Step{ScriptedServer::Act::kClose, 0, "", ""};
+    }
+  });
+  const ResultCode codes[] = {ResultCode::kOk, ResultCode::kKvConflict, ResultCode::kLeaseLapsed,
+                              ResultCode::kKvUnavailable, ResultCode::kKvOutcomeUnknown};
+  for (const ResultCode code : codes) {
+    std::optional<Result<uint64_t>> result;
+    f.store->CompareAndSwap("k", 3, "v", 77, [&](Result<uint64_t> r) { result = std::move(r); });
+    const auto& swapped = f.Wait(result);
+    if (code == ResultCode::kOk) {
+      BOOST_TEST(swapped.value() == 412U);
+    } else {
+      BOOST_REQUIRE(!swapped.has_value());
+      BOOST_TEST((swapped.error().code == code));
+    }
+  }
+  const std::string first = f.server.Requests()[0];
+  const json body = json::parse(first.substr(first.find("\r\n\r\n") + 4));
+  BOOST_TEST(body["precondition"][0]["revision"] == 3);
+  BOOST_TEST(body["puts"][0]["value"] == "dg==");
+  BOOST_TEST(body["puts"][0]["lease"] == 77);
+}
+
+BOOST_AUTO_TEST_CASE(leases_are_granted_renewed_and_found_ended) {
+  Fixture f([](size_t index, const std::string&) {
+    switch (index) {
+      case 0:
+        return Reply(200, {{"lease", 77120}, {"ttlMs", 3000}});
+      case 1:
+        return Reply(200, {{"ttlMs", 3000}});
+      default:
+        return Reply(404, json::object());
+    }
+  });
+  std::optional<Result<uint64_t>> lease;
+  f.store->GrantLease(Milliseconds(3000), [&](Result<uint64_t> r) { lease = std::move(r); });
+  BOOST_TEST(f.Wait(lease).value() == 77120U);
+  std::optional<Result<Milliseconds>> renewed;
+  f.store->RenewLease(77120, [&](Result<Milliseconds> r) { renewed = std::move(r); });
+  BOOST_TEST((f.Wait(renewed).value() == Milliseconds(3000)));
+  renewed.reset();
+  f.store->RenewLease(77120, [&](Result<Milliseconds> r) { renewed = std::move(r); });
+  BOOST_TEST((f.Wait(renewed).error().code == ResultCode::kLeaseLapsed));
+}
+
+// Guards against a store that answers nothing and holds its callers up for ever.
+BOOST_AUTO_TEST_CASE(silent_store_is_given_up) {
+  Fixture f([](size_t, const std::string&) {
+    return ScriptedServer::Step{ScriptedServer::Act::kHang, 0, "", ""};
+  });
+  std::optional<Result<KvReading>> result;
+  f.store->Get("k", ReadMode::kNewest, [&](Result<KvReading> r) { result = std::move(r); });
+  BOOST_TEST((f.Wait(result).error().code == ResultCode::kKvUnavailable));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace azuregw::platform
--- /dev/null
+++ b/tests/support/fake_async_store.h
@@ -0,0 +1,178 @@
+// A key-value store in memory for single-threaded parts, with failures on demand.
+
+#ifndef TESTS_SUPPORT_FAKE_ASYNC_STORE_H_
+#define TESTS_SUPPORT_FAKE_ASYNC_STORE_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "azuregw/kv/async_key_value_store.h"
+#include "tests/support/fake_loop.h"
+
+namespace azuregw {
+
+class FakeAsyncStore final : public AsyncKeyValueStore {
+ public:
+  explicit FakeAsyncStore(FakeLoop* loop) : m_loop(loop) {}
+
+  // ---- Control by the test ----
+  bool m_down = false;          // Every call fails at its time limit.
+  bool m_lose_answers = false;  // Writes take effect, but their answers are lost.
+  bool m_history_gone = false;  // The next watch finds its history dropped.
+  int m_calls = 0;
+  void Put(const std::string& key, const std::string& value, uint64_t lease = 0) {
+    m_items[key] = Item{value, ++m_revision, lease};
+  }
+  void Remove(const std::string& key) {
+    m_items.erase(key);
+    m_deleted[key] = ++m_revision;
+  }
+  bool Has(const std::string& key) const { return m_items.count(key) > 0; }
+  const std::string& Value(const std::string& key) const { return m_items.at(key).value; }
+  // Ends leases that are overdue, as the store does.
+  void Expire() {
+    for (auto item = m_items.begin(); item != m_items.end();) {
+      const auto lease = m_leases.find(item->second.lease);
+      const bool ended =
+          item->second.lease != 0 && (lease == m_leases.end() || lease->second <= m_loop->Now());
+      if (ended) {
+        m_deleted[item->first] = ++m_revision;
+      }
+      item = ended ? m_items.erase(item) : std::next(item);
+    }
+  }
+
+  // ---- AsyncKeyValueStore ----
+  void Get(const std::string& key, ReadMode /*mode*/, Done<KvReading> done) override {
+    Answer<KvReading>(std::move(done), [this, key]() -> Result<KvReading> {
+      KvReading reading;
+      reading.store_revision = m_revision;
+      const auto found = m_items.find(key);
+      if (found != m_items.end()) {
+        reading.entry = KvEntry{key, found->second.value, found->second.revision};
+      }
+      return reading;
+    });
+  }
+  void List(const std::string& prefix, ReadMode /*mode*/, Done<KvListing> done) override {
+    Answer<KvListing>(std::move(done), [this, prefix]() -> Result<KvListing> {
+      KvListing listing;
+      listing.store_revision = m_revision;
+      for (const auto& [key, item] : m_items) {
+        if (key.compare(0, prefix.size(), prefix) == 0) {
+          listing.entries.push_back({key, item.value, item.revision});
+        }
+      }
+      return listing;
+    });
+  }
+  void Watch(const std::string& prefix, uint64_t after, Milliseconds wait,
+             Done<KvWatchReply> done) override {
+    ++m_calls;
+    WatchStep(prefix, after, m_loop->Now() + wait, std::move(done));
+  }
+  void CompareAndSwap(const std::string& key, uint64_t expected, const std::string& value,
+                      uint64_t lease, Done<uint64_t> done) override {
+    const bool lost = m_lose_answers;
+    Answer<uint64_t>(std::move(done),
+                     [this, key, expected, value, lease, lost]() -> Result<uint64_t> {
+                       const auto found = m_items.find(key);
+                       const uint64_t present = found == m_items.end() ? 0 : found->second.revision;
+                       if (present != expected) {
+                         return NotRun(ResultCode::kKvConflict, "changed");
+                       }
+                       Put(key, value, lease);
+                       if (lost) {
+                         return Unknown(ResultCode::kKvOutcomeUnknown, "lost");
+                       }
+                       return m_revision;
+                     });
+  }
+  void GrantLease(Milliseconds ttl, Done<uint64_t> done) override {
+    Answer<uint64_t>(std::move(done), [this, ttl]() -> Result<uint64_t> {
+      m_leases[++m_last_lease] = m_loop->Now() + ttl;
+      m_ttls[m_last_lease] = ttl;
+      return m_last_lease;
+    });
+  }
+  void RenewLease(uint64_t lease, Done<Milliseconds> done) override {
+    Answer<Milliseconds>(std::move(done), [this, lease]() -> Result<Milliseconds> {
+      const auto found = m_leases.find(lease);
+      if (found == m_leases.end() || found->second <= m_loop->Now()) {
+        return NotRun(ResultCode::kLeaseLapsed, "ended");
+      }
+      found->second = m_loop->Now() + m_ttls[lease];
+      return m_ttls[lease];
+    });
+  }
+  void EndLease(uint64_t lease, Done<Milliseconds> done) override {
+    Answer<Milliseconds>(std::move(done), [this, lease]() -> Result<Milliseconds> {
+      m_leases.erase(lease);
+      Expire();
+      return Milliseconds(0);
+    });
+  }
+
+ private:
+  struct Item {
+    std::string value;
+    uint64_t revision = 0;
+    uint64_t lease = 0;
+  };
+  static constexpr Milliseconds kLatency{4};
+  static constexpr Milliseconds kTimeLimit{1500};
+
+  template <class T>
+  void Answer(Done<T> done, std::function<Result<T>()> action) {
+    ++m_calls;
+    Later(m_down ? kTimeLimit : kLatency,
+          [down = m_down, done = std::move(done), action = std::move(action)] {
+            done(down ? Result<T>(NotRun(ResultCode::kKvUnavailable, "down")) : action());
+          });
+  }
+  void WatchStep(const std::string& prefix, uint64_t after, TimePoint end,
+                 Done<KvWatchReply> done) {
+    Later(kLatency, [this, prefix, after, end, done = std::move(done)] {
+      if (m_history_gone) {
+        m_history_gone = false;
+        done(NotRun(ResultCode::kKvHistoryGone, "gone"));
+        return;
+      }
+      KvWatchReply reply;
+      reply.revision = m_revision;
+      for (const auto& [key, item] : m_items) {
+        if (item.revision > after && key.compare(0, prefix.size(), prefix) == 0) {
+          reply.entries.push_back({key, item.value, item.revision});
+        }
+      }
+      if (m_down) {
+        Later(kTimeLimit, [done] { done(NotRun(ResultCode::kKvUnavailable, "down")); });
+      } else if (!reply.entries.empty() || m_loop->Now() >= end) {
+        done(std::move(reply));
+      } else {
+        WatchStep(prefix, after, end, done);
+      }
+    });
+  }
+  // Timers live as long as the store.
+  void Later(Milliseconds delay, std::function<void()> action) {
+    m_timers.push_back(m_loop->After(delay, std::move(action)));
+  }
+
+  FakeLoop* const m_loop;
+  uint64_t m_revision = 1;
+  uint64_t m_last_lease = 0;
+  std::map<std::string, Item> m_items;
+  std::map<std::string, uint64_t> m_deleted;
+  std::map<uint64_t, TimePoint> m_leases;
+  std::map<uint64_t, Milliseconds> m_ttls;
+  std::vector<std::unique_ptr<Timer>> m_timers;
+};
+
+}  // namespace azuregw
+
+#endif  // TESTS_SUPPORT_FAKE_ASYNC_STORE_H_
--- /dev/null
+++ b/tests/support/fake_gateway.h
@@ -0,0 +1,273 @@
+// The surroundings of an exchange: upstreams that a test plays by hand, and a caller who takes
+// notes.
+
+#ifndef TESTS_SUPPORT_FAKE_GATEWAY_H_
+#define TESTS_SUPPORT_FAKE_GATEWAY_H_
+
+#include <boost/beast/http/message.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "azuregw/forward/exchange.h"
+#include "tests/support/engine_fixture.h"
+#include "tests/support/fake_log.h"
+#include "tests/support/fake_loop.h"
+
+namespace azuregw {
+
+// One request at an upstream; the test sends its answer piece by piece.
+class PlayedCall final : public ClientCall {
+ public:
+  PlayedCall(HttpCallOptions call_options, HttpRequest call_request, HttpCallHandler* handler)
+      : options(std::move(call_options)), request(std::move(call_request)), m_handler(handler) {}
+
+  void Cancel() override { m_handler = nullptr; }
+  bool MaybeSent() const override { return true; }
+  bool Cancelled() const { return m_handler == nullptr; }
+
+  void Head(int status, bool sealed, bool not_run = false) {
+    HttpResponseHead head;
+    head.result(static_cast<unsigned>(status));
+    head.set("Id", request["Id"]);
+    if (sealed) {
+      head.set("Seal", "s");
+    }
+    if (not_run) {
+      head.set("Not-Run", "1");
+    }
+    if (m_handler != nullptr) {
+      m_handler->OnHead(head);
+    }
+  }
+  void Body(const std::string& bytes) {
+    if (m_handler != nullptr) {
+      m_handler->OnBody(bytes);
+    }
+  }
+  void Done() {
+    if (m_handler != nullptr) {
+      std::exchange(m_handler, nullptr)->OnDone();
+    }
+  }
+  void Fail(bool maybe_sent) {
+    if (m_handler != nullptr) {
+      std::exchange(m_handler, nullptr)->OnFailed({maybe_sent, false, "played failure"});
+    }
+  }
+  void Answer(int status, const std::string& body, bool sealed = true, bool not_run = false) {
+    Head(status, sealed, not_run);
+    Body(body);
+    Done();
+  }
+
+  const HttpCallOptions options;
+  const HttpRequest request;
+
+ private:
+  HttpCallHandler* m_handler;
+};
+
+class PlayedClient final : public HttpClient {
+ public:
+  std::shared_ptr<ClientCall> Start(const HttpCallOptions& options, HttpRequest request,
+                                    HttpCallHandler* handler) override {
+    calls.push_back(std::make_shared<PlayedCall>(options, std::move(request), handler));
+    return calls.back();
+  }
+  void CloseIdle() override {}
+  uint64_t ConnectionsOpened() const override { return calls.size(); }
+
+  std::vector<std::shared_ptr<PlayedCall>> calls;
+};
+
+class NotingResponder final : public CallerResponder {
+ public:
+  void SendWhole(WholeReply reply) override {
+    status = reply.status;
+    body = reply.body;
+    fields = reply.fields;
+    ++ends;
+  }
+  void BeginStream(const WholeReply& head) override { status = head.status; }
+  void SendChunk(std::string_view bytes) override { body.append(bytes); }
+  void EndStream() override {
+    complete = true;
+    ++ends;
+  }
+  void Break() override {
+    broken = true;
+    ++ends;
+  }
+
+  int status = 0;
+  std::string body;
+  HttpFields fields;
+  bool complete = false;
+  bool broken = false;
+  int ends = 0;
+};
+
+// Headers with plain names.
+class PlainWire final : public WireProtocol {
+ public:
+  CallerRequest ReadCaller(const HttpFields& fields) const override {
+    CallerRequest request;
+    request.id = std::string(fields["Id"]);
+    request.key = std::string(fields["Key"]);
+    request.deadline = Milliseconds(20000);
+    if (fields.count("Deadline") > 0) {
+      request.deadline = Milliseconds(std::stoi(std::string(fields["Deadline"])));
+    }
+    request.prompt_tokens = 760;
+    request.max_answer_tokens = 200;
+    return request;
+  }
+  void WriteForwarded(const ForwardedRequest& request, HttpFields* fields) const override {
+    fields->erase("Key");
+    fields->set("Deadline", std::to_string(request.time_left.count()));
+    fields->set("Upstream", request.upstream_id);
+    fields->set("Workspace", request.workspace);
+    fields->set("Hops", std::to_string(request.path.size()));
+    if (request.resume_after) {
+      fields->set("After", *request.resume_after);
+    }
+  }
+  UpstreamAnswer ReadAnswer(int /*status*/, const HttpFields& fields) const override {
+    UpstreamAnswer answer;
+    answer.request_id = std::string(fields["Id"]);
+    answer.sealed = fields.count("Seal") > 0;
+    answer.not_run = fields.count("Not-Run") > 0;
+    return answer;
+  }
+  std::string_view RequestIdHeader() const override { return "Id"; }
+};
+
+// Engines that answer at once: their reports are fine, and they accept changed paths.
+class PlayedEngines final : public EngineControl {
+ public:
+  void QueryReport(const std::string& /*address*/, Milliseconds /*limit*/,
+                   std::function<void(Result<EngineReport>)> done) override {
+    ++questions;
+    done(report);
+  }
+  void Place(const PlaceOrder& /*order*/, std::function<void(OrderOutcome)> done) override {
+    done(OrderOutcome::kStarted);
+  }
+  void Repath(const PathHop& /*first*/, const std::string& /*request_id*/,
+              gsl::span<const PathHop> path, std::function<void(OrderOutcome)> done) override {
+    repaths.emplace_back(path.begin(), path.end());
+    done(repath_outcome);
+  }
+
+  int questions = 0;
+  EngineReport report;
+  std::vector<std::vector<PathHop>> repaths;
+  OrderOutcome repath_outcome = OrderOutcome::kStarted;
+};
+
+// A service "model" with three engines for each of two ranges, and a service "orders" with three
+// upstreams. Routes: /order/ (once), /look/ (repeatable), /stream/ (resumable).
+class GatewayFixture {
+ public:
+  GatewayFixture() {
+    RoutingConfig config;
+    config.version = 1;
+    RoutedService model;
+    model.name = "model";
+    model.engine = MixedProfile();
+    model.engine->layers = 32;
+    config.services["model"] = model;
+    config.services["orders"].name = "orders";
+    AddRoute(&config, "/order/", RepeatRule::kOnce, "orders", 1);
+    AddRoute(&config, "/look/", RepeatRule::kRepeatable, "orders", 2);
+    AddRoute(&config, "/stream/", RepeatRule::kStream, "model", 2);
+    config.workspaces.push_back({"w", {"k"}, std::nullopt});
+    routes.Adopt(std::make_shared<const RoutingConfig>(std::move(config)));
+    std::vector<UpstreamRecord> records;
+    for (int i = 0; i < 3; ++i) {
+      records.push_back(EngineRecordOf("low" + std::to_string(i), "a", "l40s", LayerRange{0, 16}));
+      records.push_back(
+          EngineRecordOf("high" + std::to_string(i), "a", "l40s", LayerRange{16, 32}));
+      records.push_back(EngineRecordOf("o" + std::to_string(i), "a", "", std::nullopt));
+      records.back().service = "orders";
+      records.back().slots = 6;
+    }
+    fleet.Update(std::move(records), false, loop.Now());
+    context.loop = &loop;
+    context.client = &client;
+    context.routes = &routes;
+    context.fleet = &fleet;
+    context.paths = &paths;
+    context.queue = &queue;
+    context.monitor = &monitor;
+    context.budget = &budget;
+    context.wire = &wire;
+    context.engines = &engines;
+    context.log = &log;
+    context.metrics = metrics.get();
+    context.random = random.get();
+    context.settings.failure_domain = "a";
+    context.assumed_instances = 0;
+  }
+
+  std::unique_ptr<ForwardExchange> Start(const std::string& target) {
+    IncomingRequest request;
+    request.message = HttpRequest(boost::beast::http::verb::post, target, 11);
+    request.message.set("Host", "h");
+    request.message.set("Id", "r1");
+    request.message.set("Key", "k");
+    request.message.body() = "payload";
+    request.arrived = loop.Now();
+    auto exchange = MakeExchange(&context, std::move(request), &responder);
+    exchange->Start();
+    return exchange;
+  }
+  PlayedCall& Call(size_t index) { return *client.calls.at(index); }
+  int Reserved() const {
+    int requests = 0;
+    for (const auto& [id, upstream] : fleet.All()) {
+      requests += upstream.own.requests;
+    }
+    return requests;
+  }
+
+  FakeLoop loop;
+  PlayedClient client;
+  RouteTable routes{Milliseconds(0)};
+  Fleet fleet;
+  std::unique_ptr<Random> random = MakeRandom(11);
+  PathSelector paths{random.get()};
+  StreamQueue queue;
+  StreamMonitor monitor;
+  RepeatBudget budget{{0.2, 200, Milliseconds(10000)}};
+  PlainWire wire;
+  PlayedEngines engines;
+  FakeLog log;
+  std::unique_ptr<Metrics> metrics = MakeMetrics();
+  NotingResponder responder;
+  ForwardContext context;
+
+ private:
+  static void AddRoute(RoutingConfig* config, const char* prefix, RepeatRule repeat,
+                       const char* service, int attempts) {
+    RouteSpec route;
+    route.name = prefix;
+    route.host = "h";
+    route.path_prefix = prefix;
+    route.repeat = repeat;
+    route.resumable = repeat == RepeatRule::kStream;
+    route.timeout = Milliseconds(20000);
+    route.target_latency = Milliseconds(repeat == RepeatRule::kStream ? 500 : 100);
+    route.services = {{service, 1}};
+    route.max_attempts = attempts;
+    config->routes.push_back(route);
+  }
+};
+
+}  // namespace azuregw
+
+#endif  // TESTS_SUPPORT_FAKE_GATEWAY_H_
--- /dev/null
+++ b/tests/sync/config_watcher_test.cc
@@ -0,0 +1,182 @@
+// The configuration and the list of upstreams, through troubles of the store.
+
+#include "azuregw/sync/config_watcher.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
+
+#include "azuregw/sync/upstream_lister.h"
+#include "tests/support/engine_fixture.h"
+#include "tests/support/fake_async_store.h"
+#include "tests/support/fake_log.h"
+#include "tests/support/fake_loop.h"
+
+namespace azuregw {
+namespace {
+
+// Values are plain: a version for the configuration, "draining" or "ready" for an upstream.
+class TextCodec final : public PlatformCodec {
+ public:
+  std::string ConfigKey() const override { return "config"; }
+  std::string UpstreamPrefix() const override { return "up/"; }
+  Result<RoutingConfig> DecodeConfig(std::string_view value) const override {
+    if (value.find_first_not_of("0123456789") != std::string_view::npos) {
+      return NotRun(ResultCode::kPresetInvalid, "version: expected a whole number");
+    }
+    RoutingConfig config;
+    config.version = std::stoull(std::string(value));
+    return config;
+  }
+  Result<UpstreamRecord> DecodeUpstream(std::string_view key,
+                                        std::string_view value) const override {
+    if (value != "ready" && value != "draining") {
+      return NotRun(ResultCode::kInvalidField, "state");
+    }
+    UpstreamRecord record = EngineRecordOf(std::string(key.substr(3)), "a", "", std::nullopt);
+    record.draining = value == "draining";
+    return record;
+  }
+};
+
+struct Fixture {
+  FakeLoop loop;
+  FakeAsyncStore store{&loop};
+  FakeLog log;
+  TextCodec codec;
+  RouteTable table{Milliseconds(3500)};
+  ConfigWatcher watcher{&loop, &store, &codec, &table, &log};
+  Fleet fleet;
+  UpstreamLister lister{&loop, &store, &codec, &fleet, &log};
+};
+
+BOOST_AUTO_TEST_SUITE(config_watcher)
+
+BOOST_AUTO_TEST_CASE(changes_are_adopted_within_milliseconds) {
+  Fixture f;
+  f.store.Put("config", "3");
+  f.watcher.Start();
+  f.loop.Advance(Milliseconds(50));
+  BOOST_TEST(f.table.Version() == 3U);
+  f.loop.Advance(Milliseconds(1000));
+  f.store.Put("config", "5");
+  f.loop.Advance(Milliseconds(20));
+  BOOST_TEST(f.table.Version() == 5U);
+  f.store.Put("config", "9");
+  f.loop.Advance(Milliseconds(130));
+  BOOST_TEST(f.table.Version() == 9U);
+}
+
+// Guards against an age that grows in calm times: keys are refused when it passes 3.5 s.
+BOOST_AUTO_TEST_CASE(age_stays_low_without_changes) {
+  Fixture f;
+  f.store.Put("config", "3");
+  f.watcher.Start();
+  f.loop.Advance(Milliseconds(50));
+  for (int i = 0; i < 100; ++i) {
+    f.loop.Advance(Milliseconds(100));
+    BOOST_TEST((*f.table.Age(f.loop.Now()) <= Milliseconds(1700)));
+  }
+  BOOST_TEST(f.store.m_calls < 10);
+}
+
+// Guards against keys that are refused as outdated because one watch got no answer: the store was
+// silent for a second while it dropped its history (70 requests refused on the users' bench).
+BOOST_AUTO_TEST_CASE(one_lost_watch_does_not_make_the_configuration_outdated) {
+  Fixture f;
+  f.store.Put("config", "3");
+  f.watcher.Start();
+  f.loop.Advance(Milliseconds(1000));
+  f.store.m_down = true;
+  f.loop.Advance(Milliseconds(1000));
+  f.store.m_down = false;
+  for (int i = 0; i < 40; ++i) {
+    f.loop.Advance(Milliseconds(100));
+    BOOST_TEST((*f.table.Age(f.loop.Now()) <= Milliseconds(3500)));
+  }
+  BOOST_TEST(f.log.Count("store_lost") == 1);
+  BOOST_TEST(f.log.Count("store_regained") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(outage_ages_the_configuration_and_its_end_is_noticed) {
+  Fixture f;
+  f.store.Put("config", "3");
+  f.watcher.Start();
+  f.loop.Advance(Milliseconds(1000));
+  f.store.m_down = true;
+  f.loop.Advance(Milliseconds(8000));
+  BOOST_TEST((*f.table.Age(f.loop.Now()) > Milliseconds(3500)));
+  f.store.Put("config", "4");
+  f.store.m_down = false;
+  f.loop.Advance(Milliseconds(2000));
+  BOOST_TEST(f.table.Version() == 4U);
+  BOOST_TEST((*f.table.Age(f.loop.Now()) <= Milliseconds(1700)));
+}
+
+BOOST_AUTO_TEST_CASE(dropped_history_is_read_again) {
+  Fixture f;
+  f.store.Put("config", "3");
+  f.watcher.Start();
+  f.loop.Advance(Milliseconds(50));
+  f.store.Put("config", "8");
+  f.store.m_history_gone = true;
+  f.loop.Advance(Milliseconds(100));
+  BOOST_TEST(f.table.Version() == 8U);
+}
+
+// Guards against an unreadable configuration that clears the one in force or counts as confirmed.
+BOOST_AUTO_TEST_CASE(unreadable_configuration_harms_nothing) {
+  Fixture f;
+  f.store.Put("config", "3");
+  f.watcher.Start();
+  f.loop.Advance(Milliseconds(50));
+  f.store.Put("config", "not a version");
+  f.loop.Advance(Milliseconds(300));
+  BOOST_TEST(f.table.Version() == 3U);
+  BOOST_TEST(f.log.Count("config_unreadable") == 1);
+  f.store.Put("config", "4");
+  f.loop.Advance(Milliseconds(300));
+  BOOST_TEST(f.table.Version() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(leaving_upstream_is_known_within_a_second) {
+  Fixture f;
+  f.store.Put("up/s1", "ready");
+  f.store.Put("up/s2", "???");
+  f.lister.Start();
+  f.loop.Advance(Milliseconds(50));
+  BOOST_TEST(f.fleet.All().size() == 1U);
+  BOOST_TEST(f.log.Count("upstream_unreadable") == 1);
+  f.store.Put("up/s1", "draining");
+  f.loop.Advance(Milliseconds(900));
+  BOOST_TEST(f.fleet.Find("s1")->record.draining);
+  f.store.Remove("up/s1");
+  f.loop.Advance(Milliseconds(900));
+  BOOST_TEST(f.fleet.All().empty());
+  BOOST_TEST(f.log.Count("upstream_unreadable") == 1);  // Once, not with every list.
+}
+
+// Guards against a fleet that is empty after an outage in which entries lapsed.
+BOOST_AUTO_TEST_CASE(lapsed_upstreams_are_kept_until_they_can_be_back) {
+  Fixture f;
+  f.store.Put("up/s1", "ready");
+  f.store.Put("up/s2", "ready");
+  f.lister.Start();
+  f.loop.Advance(Milliseconds(1000));
+  f.store.m_down = true;
+  f.loop.Advance(Milliseconds(5000));
+  BOOST_TEST(f.fleet.All().size() == 2U);
+  f.store.Remove("up/s1");
+  f.store.Remove("up/s2");
+  f.store.m_down = false;
+  f.loop.Advance(Milliseconds(1900));
+  BOOST_TEST(f.fleet.All().size() == 2U);
+  f.store.Put("up/s1", "ready");
+  f.loop.Advance(Milliseconds(3000));
+  BOOST_TEST(f.fleet.All().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace azuregw
