--- a/include/azuregw/forward/gateway.h
+++ b/include/azuregw/forward/gateway.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "azuregw/base/event_loop.h"
 #include "azuregw/base/result.h"
--- a/include/azuregw/placement/duty_lease.h
+++ b/include/azuregw/placement/duty_lease.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "azuregw/base/event_loop.h"
 #include "azuregw/base/random.h"
--- a/include/azuregw/routes/routing_config.h
+++ b/include/azuregw/routes/routing_config.h
@@ -89,7 +89,7 @@
 
 struct CallerLimits {
   uint32_t max_header_bytes = 16 * 1024;
-  uint64_t max_body_bytes = 4 * 1024 * 1024;
+  uint64_t max_body_bytes = uint64_t{4} << 20;
   Milliseconds header_timeout{10000};
   Milliseconds idle_timeout{60000};
 };
--- a/include/azuregw/sync/upstream_lister.h
+++ b/include/azuregw/sync/upstream_lister.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "azuregw/base/event_loop.h"
 #include "azuregw/fleet/fleet.h"
@@ -23,7 +24,7 @@
 class UpstreamLister {
  public:
   // Engines that are leaving must get no work later than 2 s after the store knows it.
-  static constexpr Milliseconds kInterval{800};
+  static constexpr Milliseconds kInterval{1000};
   static constexpr Milliseconds kAfterFailure{300};
   // Without contact for longer, upstreams may have lapsed while the store was away.
   static constexpr Milliseconds kOutage{1800};
--- a/src/fleet/stream_monitor.cc
+++ b/src/fleet/stream_monitor.cc
@@ -12,7 +12,7 @@
 constexpr Milliseconds kHeldUp{120};
 // A stream is silent after this pause, or after this multiple of its usual one if that is longer.
 // Usual pauses are 30 to 60 ms, and a pause over 200 ms makes an answer late.
-constexpr double kSilentMs = 65;
+constexpr double kSilentMs = 80;
 constexpr double kSilentFactor = 2.0;
 // An engine works if one of its streams had an event this lately.
 constexpr Milliseconds kProgress{60};
--- a/src/forward/event_scanner.cc
+++ b/src/forward/event_scanner.cc
@@ -50,7 +50,8 @@
   std::string whole;
   size_t done = 0;
   while (true) {
-    const std::string_view rest = std::string_view(m_pending).substr(done);
+    std::string_view rest = m_pending;
+    rest.remove_prefix(done);
     const size_t length = FirstEventLength(rest);
     if (length == 0) {
       break;
--- a/src/forward/plain_exchange.cc
+++ b/src/forward/plain_exchange.cc
@@ -177,6 +177,15 @@
     options.max_idle = MayRepeat() ? kRepeatableMaxIdle : kOrderMaxIdle;
     ++m_sends;
     m_context->fleet->Reserve(id, 0);
+    const Upstream* const upstream = m_context->fleet->Find(id);
+    m_context->log->Write("plain_attempt",
+                          {{"request_id", m_caller.id},
+                           {"upstream", id},
+                           {"running_here", upstream->own.requests},
+                           {"running_elsewhere", upstream->others.requests},
+                           {"failures", upstream->failures},
+                           {"sends", m_sends}},
+                          !m_attempts.empty());
     attempt->m_call =
         m_context->client->Start(options, ForwardedMessage(id, {}, std::nullopt), attempt.get());
     m_attempts.push_back(std::move(attempt));
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -29,7 +29,7 @@
 constexpr double kAnswerShare = 0.7;
 // Refusals of engines that are answered by another path.
 constexpr int kMaxNotRun = 4;
-constexpr Milliseconds kConnectTimeout{300};
+constexpr Milliseconds kConnectTimeout{150};
 constexpr Milliseconds kMaxIdle{1500};
 // How long an engine gets no new streams: one whose connection broke, one that another engine or
 // its own answer named, and one that is silent while others make progress.
@@ -207,6 +207,9 @@
     (*line)["first_event_ms"] = m_first_event.count();
     (*line)["longest_pause_ms"] = m_longest_pause.count();
     (*line)["path_changes"] = m_repaths;
+    (*line)["queued"] = m_context->queue->Size();
+    (*line)["starts_per_s"] = m_context->queue->StartsPerS(Now());
+    (*line)["load_of_others_known"] = m_context->assumed_instances == 0;
   }
 
   PathQuery Query() const {
--- a/src/logging/decision_log.cc
+++ b/src/logging/decision_log.cc
@@ -16,7 +16,7 @@
 // Lines wait at most this long, so that many lines share one system call.
 constexpr Milliseconds kFlushInterval{200};
 // At about 300 bytes a line, some 800 lines.
-constexpr size_t kMaxBufferBytes = 256 * 1024;
+constexpr size_t kMaxBufferBytes = size_t{256} << 10;
 // Lines of one event per second; a calm instance writes about 10 lines a second per event.
 constexpr int kLinesPerSecond = 60;
 // Lines marked as important have their own, higher bound.
--- a/src/net/status_server.cc
+++ b/src/net/status_server.cc
@@ -21,7 +21,7 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-using Answer = std::function<StatusReply(const std::string& target)>;
+using Answer = std::function<StatusReply(const std::string&)>;
 
 // Askers come once a second or every few seconds.
 constexpr std::chrono::seconds kIdleTimeout{15};
@@ -52,7 +52,8 @@
 
  private:
   void Reply() {
-    StatusReply reply = (*m_answer)(std::string(m_request.target()));
+    const auto target = m_request.target();
+    StatusReply reply = (*m_answer)({target.data(), target.size()});
     m_response = {};
     m_response.result(static_cast<unsigned>(reply.status));
     m_response.version(11);
--- a/tests/support/fake_loop.h
+++ b/tests/support/fake_loop.h
@@ -3,6 +3,7 @@
 #ifndef TESTS_SUPPORT_FAKE_LOOP_H_
 #define TESTS_SUPPORT_FAKE_LOOP_H_
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
