--- a/include/azuregw/sync/upstream_lister.h
+++ b/include/azuregw/sync/upstream_lister.h
@@ -24,7 +24,7 @@
 class UpstreamLister {
  public:
   // Engines that are leaving must get no work later than 2 s after the store knows it.
-  static constexpr Milliseconds kInterval{1000};
+  static constexpr Milliseconds kInterval{900};
   static constexpr Milliseconds kAfterFailure{300};
   // Without contact for longer, upstreams may have lapsed while the store was away.
   static constexpr Milliseconds kOutage{1800};
--- a/src/forward/caller_listener.cc
+++ b/src/forward/caller_listener.cc
@@ -24,6 +24,7 @@
 #include <string>
 #include <utility>
 
+#include "azuregw/net/endpoint.h"
 #include "forward/exchange_base.h"
 
 namespace azuregw {
@@ -120,22 +121,7 @@
       : m_io(io), m_context(context), m_acceptor(*io), m_retry(*io) {}
 
   Result<void> Listen() {
-    error_code error;
-    const tcp::endpoint& endpoint = m_context->settings.caller_address;
-    m_acceptor.open(endpoint.protocol(), error);
-    if (!error) {
-      m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    }
-    if (!error) {
-      m_acceptor.bind(endpoint, error);
-    }
-    if (!error) {
-      m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-      return NotRun(ResultCode::kPortInUse, "callers' address: " + error.message());
-    }
-    return boost::outcome_v2::success();
+    return OpenAcceptor(m_context->settings.caller_address, "callers' address", &m_acceptor);
   }
 
   void Accept() override {
--- a/src/forward/exchange_base.cc
+++ b/src/forward/exchange_base.cc
@@ -11,6 +11,8 @@
 #include <utility>
 #include <vector>
 
+#include "azuregw/net/endpoint.h"
+
 namespace azuregw {
 namespace {
 
@@ -117,15 +119,7 @@
   if (upstream == nullptr) {
     return std::nullopt;
   }
-  const std::string& text = upstream->record.address;
-  const size_t colon = text.rfind(':');
-  boost::system::error_code error;
-  const auto address = boost::asio::ip::make_address(text.substr(0, colon), error);
-  if (error || colon == std::string::npos) {
-    return std::nullopt;
-  }
-  return boost::asio::ip::tcp::endpoint(
-      address, static_cast<uint16_t>(std::strtoul(text.c_str() + colon + 1, nullptr, 10)));
+  return ParseEndpoint(upstream->record.address);
 }
 
 ExchangeBase::ExchangeBase(ForwardContext* context, IncomingRequest request, CallerRequest caller,
--- a/src/forward/exchange_base.h
+++ b/src/forward/exchange_base.h
@@ -73,7 +73,7 @@
                     const std::string& request_id, std::string_view request_id_header,
                     std::optional<Milliseconds> retry_after);
 
-// "host:port" of the list into an address; nullopt when it is none.
+// The address of a listed upstream; nullopt when it is not listed.
 std::optional<boost::asio::ip::tcp::endpoint> UpstreamEndpoint(const Fleet& fleet,
                                                                const std::string& id);
 
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -7,19 +7,20 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdlib>
-#include <map>
 #include <optional>
 #include <string>
 #include <utility>
 
 #include "azuregw/forward/caller_listener.h"
 #include "azuregw/forward/exchange.h"
+#include "azuregw/net/endpoint.h"
 #include "azuregw/net/status_server.h"
 #include "azuregw/placement/duty_lease.h"
 #include "azuregw/placement/layout_runner.h"
 #include "azuregw/sync/config_watcher.h"
 #include "azuregw/sync/load_exchange.h"
 #include "azuregw/sync/upstream_lister.h"
+#include "forward/engine_watch.h"
 
 namespace azuregw {
 namespace {
@@ -43,16 +44,6 @@
 constexpr Milliseconds kStopPoll{50};
 constexpr Milliseconds kKnownPoll{5};
 constexpr Milliseconds kLongestUnknown{800};
-// New streams avoid an engine that stopped for this long, then try it again.
-constexpr Milliseconds kStoppedFor{1500};
-// An engine that works answers within about 5 ms; streams have to move within 200 ms of silence.
-constexpr Milliseconds kAskLimit{40};
-constexpr Milliseconds kAskAgain{150};
-// Engines whose streams are all this much slower than usual are asked for their pace.
-constexpr double kAskPaceAt = 2.0;
-constexpr Milliseconds kAskPaceAgain{700};
-// A stream leaves an engine that says it is slower than this, if its pauses make it late.
-constexpr double kSlowPace = 2.5;
 constexpr Milliseconds kQueueTick{25};
 // Instances that share the load while their number is not known.
 constexpr int kAssumedInstances = 8;
@@ -75,9 +66,9 @@
         m_lister(m_loop.get(), m_platform.store.get(), m_platform.codec.get(), &m_fleet,
                  m_log.get()),
         m_duty(m_loop.get(), m_platform.store.get(), m_random.get(), m_log.get(), kLayoutDuty,
-               settings.name + " " + settings.peer_address.address().to_string() + ":" +
-                   std::to_string(settings.peer_address.port())),
+               settings.name + " " + EndpointText(settings.peer_address)),
         m_layout(m_loop.get(), &m_duty, &m_routes, &m_fleet, m_platform.engines.get(), m_log.get()),
+        m_engine_watch(m_loop.get(), &m_fleet, &m_monitor, m_platform.engines.get(), m_log.get()),
         m_signals(m_io, SIGTERM, SIGINT, SIGHUP) {
     m_context.loop = m_loop.get();
     m_context.client = m_client.get();
@@ -99,9 +90,9 @@
   // Returns only if the instance could not start.
   int Run() {
     m_log->Write("start",
-                 {{"callers", AddressText(m_context.settings.caller_address)},
-                  {"readiness", AddressText(m_context.settings.readiness_address)},
-                  {"store", AddressText(m_context.settings.store_address)},
+                 {{"callers", EndpointText(m_context.settings.caller_address)},
+                  {"readiness", EndpointText(m_context.settings.readiness_address)},
+                  {"store", EndpointText(m_context.settings.store_address)},
                   {"key_age_limit_ms", KeyAge(m_context.settings).count()}},
                  true);
     auto listener = MakeCallerListener(&m_io, &m_context);
@@ -139,7 +130,7 @@
     WaitForSignal();
     AcceptWhenKnown();
     TickQueue();
-    TickMonitor();
+    m_engine_watch.Start();
     m_io.run();
     m_log->Write("stop", {{"connections", m_listener->Connections()}}, true);
     m_log->Flush();
@@ -148,10 +139,6 @@
   }
 
  private:
-  static std::string AddressText(const asio::ip::tcp::endpoint& endpoint) {
-    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
-  }
-
   static Milliseconds KeyAge(const GatewaySettings& settings) {
     return settings.key_removal_bound.count() == 0
                ? Milliseconds(0)
@@ -228,98 +215,6 @@
     });
   }
 
-  void TickMonitor() {
-    m_monitor_timer = m_loop->After(StreamMonitor::kTick, [this] {
-      const TimePoint now = m_loop->Now();
-      const StreamMonitor::Findings findings = m_monitor.Tick(now);
-      for (const auto& [id, slowdown] : findings.slowdowns) {
-        if (slowdown > kAskPaceAt) {
-          AskPace(id, now);
-        }
-      }
-      LeaveSlow(now);
-      for (const std::string& id : findings.silent) {
-        AskSilent(id, now);
-      }
-      TickMonitor();
-    });
-  }
-
-  // Asks an engine whose streams fell silent, and moves them if it does not answer.
-  void AskSilent(const std::string& id, TimePoint now) {
-    const Upstream* const upstream = m_fleet.Find(id);
-    if (upstream == nullptr) {
-      return;
-    }
-    if (now < upstream->stopped_until) {
-      LeaveStopped(id);  // Another instance has asked.
-      return;
-    }
-    TimePoint& asked = m_asked[id];
-    if (now - asked < kAskAgain) {
-      return;
-    }
-    asked = now;
-    m_platform.engines->QueryReport(
-        upstream->record.address, kAskLimit, [this, id](const Result<EngineReport>& report) {
-          if (report) {
-            return;
-          }
-          m_fleet.MarkStopped(id, kStoppedFor, m_loop->Now());
-          m_log->Write("upstream_suspect",
-                       {{"upstream", id},
-                        {"reason", "its streams are silent: " + report.error().message},
-                        {"for_ms", kStoppedFor.count()}},
-                       true);
-          LeaveStopped(id);
-        });
-  }
-
-  // Asks an engine that seems slow for its pace, unless it is known. The pace is shared with the
-  // load, so that one instance asks for all.
-  void AskPace(const std::string& id, TimePoint now) {
-    const Upstream* const upstream = m_fleet.Find(id);
-    if (upstream == nullptr || now < upstream->slowdown_until) {
-      return;
-    }
-    TimePoint& asked = m_asked_pace[id];
-    if (now - asked < kAskPaceAgain) {
-      return;
-    }
-    asked = now;
-    m_platform.engines->QueryReport(
-        upstream->record.address, EngineControl::kReportTimeLimit,
-        [this, id](const Result<EngineReport>& report) {
-          if (!report) {
-            return;  // Its streams tell whether it stopped.
-          }
-          const double pace = report.value().pace;
-          if (pace > kSlowPace) {
-            m_log->Write("upstream_slow", {{"upstream", id}, {"pace", pace}}, false);
-          }
-          m_fleet.OnPace(id, pace, m_loop->Now());
-        });
-  }
-
-  // Lets one stream a tick leave each engine that is known to be slow; all at once would overfill
-  // the others.
-  void LeaveSlow(TimePoint now) {
-    for (const auto& [id, upstream] : m_fleet.All()) {
-      if (now < upstream.slowdown_until && upstream.slowdown > kSlowPace) {
-        if (MonitoredStream* const stream = m_monitor.SlowestOf(id)) {
-          stream->LeaveEngine(id, false);
-          return;
-        }
-      }
-    }
-  }
-
-  void LeaveStopped(const std::string& id) {
-    for (MonitoredStream* stream : m_monitor.StreamsOf(id)) {
-      stream->LeaveEngine(id, true);
-    }
-  }
-
   void WaitForSignal() {
     m_signals.async_wait([this](boost::system::error_code error, int signal) {
       if (error) {
@@ -388,6 +283,7 @@
   UpstreamLister m_lister;
   DutyLease m_duty;
   LayoutRunner m_layout;
+  EngineWatch m_engine_watch;
   asio::signal_set m_signals;
   ForwardContext m_context;
   std::unique_ptr<CallerListener> m_listener;
@@ -396,11 +292,8 @@
   std::unique_ptr<Timer> m_queue_timer;
   std::unique_ptr<Timer> m_accept_timer;
   const TimePoint m_started = m_loop->Now();
-  std::unique_ptr<Timer> m_monitor_timer;
   std::unique_ptr<Timer> m_stop_timer;
   std::unique_ptr<LoadExchange> m_load;
-  std::map<std::string, TimePoint> m_asked_pace;
-  std::map<std::string, TimePoint> m_asked;  // When silent engines were asked.
   int m_last_instances = kAssumedInstances;  // As last known.
   bool m_stopping = false;
   bool m_was_ready = false;
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -1,680 +1,434 @@
-// A request whose answer is a stream of events, from engines on a path that holds all layers.
-//
-// Only whole events are passed on, so that a stream whose engine fails can go on at another path
-// after the last event that the caller has.
+// The life of a stream: placement, waiting, attempts and answers.
+
+#include "forward/stream_exchange.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 #include <vector>
 
-#include "azuregw/admission/wait_policy.h"
-#include "azuregw/forward/event_scanner.h"
-#include "forward/exchange_base.h"
-
 namespace azuregw {
 namespace {
 
 // New streams leave this share of an engine's memory free, because answers may be longer than
 // expected and an engine without memory preempts its newest request.
 constexpr double kMaxLoadNew = 0.95;
-// A stream that its caller already reads goes on before new ones start.
-constexpr double kMaxLoadResumed = 1.05;
 // Slow engines get work only if there is no other path, and then little: their queue grows faster
 // than their memory fills, and their streams are late.
-constexpr double kMaxSlowdown = 3.5;
 constexpr double kAnySlowdown = 1e9;
 constexpr double kMaxLoadSlow = 0.4;
 // Share of the expected answer that is reserved: memory fills as the answer grows.
 constexpr double kAnswerShare = 0.7;
 // Refusals of engines that are answered by another path.
 constexpr int kMaxNotRun = 4;
+// Engines accept connections within 2 ms; one behind a partition does not answer.
 constexpr Milliseconds kConnectTimeout{150};
+// Engines may close idle connections without notice.
 constexpr Milliseconds kMaxIdle{1500};
-// How long an engine gets no new streams: one whose connection broke, one that another engine or
-// its own answer named, and one that is silent while others make progress.
+// How long an engine gets no new streams after its connection broke.
 constexpr Milliseconds kBrokenFor{1500};
+// The same for one that another engine or its own answer named.
 constexpr Milliseconds kNamedFor{1000};
-constexpr Milliseconds kSilentFor{1500};
 // An engine whose streams made progress this lately works, whatever it refuses.
 constexpr Milliseconds kWorkedLately{300};
 // A full engine has memory again as soon as one of its streams ends, some 20 times a second.
 constexpr Milliseconds kFullFor{200};
-// Silence after which the path is examined. Callers give up after 2 s; events come every 30 to 60
-// ms.
-constexpr Milliseconds kFirstEventSilence{700};
-constexpr Milliseconds kEventSilence{350};
-constexpr Milliseconds kExamineInterval{200};
-// Silence after which the stream moves to another path even if no engine could be found at fault.
-constexpr Milliseconds kUnexplainedSilence{1300};
 // A stream is not moved when less time is left.
 constexpr Milliseconds kLeastTimeToMove{300};
-// Changes of one request's path; each is an order that costs about a twentieth of an answer.
-constexpr int kMaxRepaths = 3;
-// All streams of a stopped engine choose again at once, with the same view of the load.
-constexpr double kRepathSpread = 1.0;
 // Longest wait of a broken stream for a path with memory.
 constexpr Milliseconds kResumeWait{1200};
 // Largest failure that is kept for the caller.
 constexpr size_t kMaxFailureBytes = size_t{1} << 20;
 
-class StreamExchange final : public ExchangeBase,
-                             public HttpCallHandler,
-                             public StreamWaiter,
-                             public MonitoredStream {
- public:
-  StreamExchange(ForwardContext* context, IncomingRequest request, CallerRequest caller,
-                 RouteMatch match, CallerResponder* responder)
-      : ExchangeBase(context, std::move(request), std::move(caller), std::move(match), responder) {
-    const auto service = m_match.config->services.find(m_service);
-    if (service != m_match.config->services.end() && service->second.engine) {
-      m_profile = &*service->second.engine;
-      const double usual = m_profile->usual_answer_tokens;
-      const double most = m_caller.max_answer_tokens > 0 ? m_caller.max_answer_tokens : usual;
-      const double expected = std::min(most, m_caller.expected_answer_tokens.value_or(usual));
-      m_tokens = m_caller.prompt_tokens + kAnswerShare * expected;
-    }
-  }
+}  // namespace
 
-  ~StreamExchange() override {
-    CloseIfCallerLeft();
-    m_context->queue->Leave(this);
-    EndAttempt();
+StreamExchange::StreamExchange(ForwardContext* context, IncomingRequest request,
+                               CallerRequest caller, RouteMatch match, CallerResponder* responder)
+    : ExchangeBase(context, std::move(request), std::move(caller), std::move(match), responder) {
+  const auto service = m_match.config->services.find(m_service);
+  if (service != m_match.config->services.end() && service->second.engine) {
+    m_profile = &*service->second.engine;
+    const double usual = m_profile->usual_answer_tokens;
+    const double most = m_caller.max_answer_tokens > 0 ? m_caller.max_answer_tokens : usual;
+    const double expected = std::min(most, m_caller.expected_answer_tokens.value_or(usual));
+    m_tokens = m_caller.prompt_tokens + kAnswerShare * expected;
   }
+}
 
-  void Start() override {
-    if (m_profile == nullptr) {
-      Fail(ResultCode::kNoChain, "the service has no engine profile");
-      return;
-    }
-    StartDeadline();
-    if (!TryStart()) {
-      WaitForPath();
-    }
-  }
+StreamExchange::~StreamExchange() {
+  CloseIfCallerLeft();
+  m_context->queue->Leave(this);
+  EndAttempt();
+}
 
-  bool TryStart() override {
-    PathQuery query = Query();
-    query.max_load = m_head_sent ? kMaxLoadResumed : kMaxLoadNew;
-    query.max_slowdown = kMaxSlowdown;
-    std::optional<EnginePath> path =
-        m_context->paths->Choose(*m_context->fleet, query, &m_path_problem);
-    if (!path) {
-      query.max_slowdown = kAnySlowdown;
-      query.max_load = kMaxLoadSlow;
-      path = m_context->paths->Choose(*m_context->fleet, query, &m_path_problem);
-    }
-    if (!path && !m_excluded.empty() && m_path_problem == PathProblem::kNoCover) {
-      // An engine that refused once is better than none.
-      m_excluded.clear();
-    }
-    if (!path) {
-      return false;
-    }
-    m_wait_timer.reset();
-    StartAttempt(std::move(*path));
-    return true;
+void StreamExchange::Start() {
+  if (m_profile == nullptr) {
+    Fail(ResultCode::kNoChain, "the service has no engine profile");
+    return;
   }
-
-  void LeaveEngine(const std::string& engine, bool stopped) override {
-    if (!m_attempting || Closed() || m_moving) {
-      return;
-    }
-    if (!stopped) {
-      if (m_left_slow) {
-        return;
-      }
-      m_left_slow = true;  // One change at most: it may not have got better.
-    }
-    if (engine != m_path.hops.front().id && Repath(engine)) {
-      return;
-    }
-    if (MayResend()) {
-      MoveAwayFrom({engine}, stopped ? "an engine stopped" : "an engine is slow");
-    }
+  StartDeadline();
+  if (!TryStart()) {
+    WaitForPath();
   }
+}
 
-  // ---- HttpCallHandler ----
+bool StreamExchange::TryStart() {
+  PathQuery query = Query();
+  query.max_load = m_head_sent ? kMaxLoadResumed : kMaxLoadNew;
+  query.max_slowdown = kMaxSlowdown;
+  std::optional<EnginePath> path =
+      m_context->paths->Choose(*m_context->fleet, query, &m_path_problem);
+  if (!path) {
+    query.max_slowdown = kAnySlowdown;
+    query.max_load = kMaxLoadSlow;
+    path = m_context->paths->Choose(*m_context->fleet, query, &m_path_problem);
+  }
+  if (!path && !m_excluded.empty() && m_path_problem == PathProblem::kNoCover) {
+    // An engine that refused once is better than none.
+    m_excluded.clear();
+  }
+  if (!path) {
+    return false;
+  }
+  m_wait_timer.reset();
+  StartAttempt(std::move(*path));
+  return true;
+}
 
-  bool OnHead(const HttpResponseHead& head) override {
-    const int status = static_cast<int>(head.result_int());
-    m_answer = m_context->wire->ReadAnswer(status, head);
-    if (!m_answer.request_id.empty() && m_answer.request_id != m_caller.id) {
-      return false;
-    }
-    m_attempt_status = status;
-    m_streaming = status == 200 && m_answer.sealed && !m_answer.not_run;
-    m_last_bytes = Now();
-    if (!m_head_sent) {
-      m_head.status = status;
-      m_head.fields = EndToEndFields(head);
-      m_head.body.clear();
+bool StreamExchange::OnHead(const HttpResponseHead& head) {
+  const int status = static_cast<int>(head.result_int());
+  m_answer = m_context->wire->ReadAnswer(status, head);
+  if (!m_answer.request_id.empty() && m_answer.request_id != m_caller.id) {
+    return false;
+  }
+  m_attempt_status = status;
+  m_streaming = status == 200 && m_answer.sealed && !m_answer.not_run;
+  m_last_bytes = Now();
+  if (!m_head_sent) {
+    m_head.status = status;
+    m_head.fields = EndToEndFields(head);
+    m_head.body.clear();
+  }
+  return true;
+}
+
+void StreamExchange::OnBody(std::string_view bytes) {
+  const TimePoint now = Now();
+  m_last_bytes = now;
+  if (!m_streaming) {
+    if (m_head.body.size() + bytes.size() <= kMaxFailureBytes && !m_head_sent) {
+      m_head.body.append(bytes);
     }
-    return true;
+    return;
   }
+  for (const PathHop& hop : m_path.hops) {
+    m_context->fleet->OnProgress(hop.id, now);
+  }
+  m_context->monitor->OnEvent(this, now);
+  m_scanner.Push(bytes);
+  PassOn(m_scanner.TakeWhole(m_resumed ? EventNumber(m_last_sent_id) : std::nullopt));
+}
 
-  void OnBody(std::string_view bytes) override {
-    const TimePoint now = Now();
-    m_last_bytes = now;
-    if (!m_streaming) {
-      if (m_head.body.size() + bytes.size() <= kMaxFailureBytes && !m_head_sent) {
-        m_head.body.append(bytes);
-      }
-      return;
-    }
-    for (const PathHop& hop : m_path.hops) {
-      m_context->fleet->OnProgress(hop.id, now);
-    }
-    m_context->monitor->OnEvent(this, now);
-    m_scanner.Push(bytes);
-    PassOn(m_scanner.TakeWhole(m_resumed ? EventNumber(m_last_sent_id) : std::nullopt));
+void StreamExchange::OnDone() {
+  if (!m_streaming) {
+    OnRefusalOrFailure();
+    return;
+  }
+  if (m_scanner.Partial()) {
+    OnBroken("the stream ended within an event", m_path.hops.front().id);
+    return;
+  }
+  EndAttempt();
+  if (!m_head_sent) {
+    m_head_sent = true;
+    m_responder->BeginStream(m_head);
   }
+  Close(200, "delivered", "last event " + m_last_sent_id.value_or("none"));
+  m_responder->EndStream();
+  Freed();
+}
 
-  void OnDone() override {
-    if (!m_streaming) {
-      OnRefusalOrFailure();
-      return;
-    }
-    if (m_scanner.Partial()) {
-      OnBroken("the stream ended within an event", m_path.hops.front().id);
-      return;
-    }
+void StreamExchange::OnFailed(const HttpFailure& failure) {
+  const std::string first = m_path.hops.front().id;
+  if (!failure.maybe_sent) {
+    --m_sends;
+    SuspectEngine(first, kBrokenFor, failure.reason);
     EndAttempt();
-    if (!m_head_sent) {
-      m_head_sent = true;
-      m_responder->BeginStream(m_head);
-    }
-    Close(200, "delivered", "last event " + m_last_sent_id.value_or("none"));
-    m_responder->EndStream();
-    Freed();
-  }
-
-  void OnFailed(const HttpFailure& failure) override {
-    const std::string first = m_path.hops.front().id;
-    if (!failure.maybe_sent) {
-      --m_sends;
-      SuspectEngine(first, kBrokenFor, failure.reason);
-      EndAttempt();
-      LogAttempt("not_sent", failure.reason);
-      Again(failure.reason, false);
-      return;
-    }
-    OnBroken(failure.reason, first);
-  }
-
- private:
-  void AddDetails(nlohmann::ordered_json* line) const override {
-    (*line)["first_event_ms"] = m_first_event.count();
-    (*line)["longest_pause_ms"] = m_longest_pause.count();
-    (*line)["path_changes"] = m_repaths;
-    (*line)["queued"] = m_context->queue->Size();
-    (*line)["starts_per_s"] = m_context->queue->StartsPerS(Now());
-    (*line)["load_of_others_known"] = m_context->assumed_instances == 0;
-  }
-
-  PathQuery Query() const {
-    PathQuery query;
-    query.service = m_service;
-    query.profile = m_profile;
-    query.tokens = m_tokens;
-    query.failure_domain = m_context->settings.failure_domain;
-    query.excluded = m_excluded;
-    query.now = Now();
-    query.assumed_instances = m_context->assumed_instances;
-    return query;
-  }
-
-  void StartAttempt(EnginePath path) {
-    m_path = std::move(path);
-    m_streaming = false;
-    m_scanner.Clear();
-    m_examinations = 0;
-    m_resumed = m_head_sent;
-    for (const PathHop& hop : m_path.hops) {
-      m_context->fleet->Reserve(hop.id, Reservation(hop));
-    }
-    const PathHop& first = m_path.hops.front();
-    nlohmann::ordered_json hops = nlohmann::ordered_json::array();
-    for (const PathHop& hop : m_path.hops) {
-      hops.push_back(hop.id + "=" + std::to_string(hop.layers.first) + "-" +
-                     std::to_string(hop.layers.last));
-    }
-    m_context->log->Write("stream_attempt",
-                          {{"request_id", m_caller.id},
-                           {"path", std::move(hops)},
-                           {"peak_load", m_path.peak_load},
-                           {"cost_ms", m_path.cost_ms},
-                           {"tokens", m_tokens},
-                           {"resume_after", m_last_sent_id.value_or("")},
-                           {"sends", m_sends},
-                           {"queued", m_context->queue->Size()}},
-                          m_sends > 0);
-    HttpCallOptions options;
-    // The path comes from the fleet as it is now, so the engine is listed.
-    options.endpoint = *UpstreamEndpoint(*m_context->fleet, first.id);
-    options.connect_timeout = kConnectTimeout;
-    options.max_idle = MayRepeat() ? kMaxIdle : Milliseconds(0);
-    ++m_sends;
-    m_context->queue->OnStarted(Now());
-    m_attempt_started = Now();
-    m_last_bytes = m_attempt_started;
-    m_attempting = true;
-    m_call = m_context->client->Start(
-        options, ForwardedMessage(first.id, m_path.hops, m_resumed ? m_last_sent_id : std::nullopt),
-        this);
-    BeginMonitoring();
-    WatchSilence();
-  }
-
-  void BeginMonitoring() {
-    std::vector<std::string> engines;
-    for (const PathHop& hop : m_path.hops) {
-      engines.push_back(hop.id);
-    }
-    m_context->monitor->Begin(this, engines, m_path.step_ms, Now());
+    LogAttempt("not_sent", failure.reason);
+    Again(failure.reason, false);
+    return;
   }
+  OnBroken(failure.reason, first);
+}
 
-  bool MayResend() const {
-    return MayRepeat() && m_sends < Route().max_attempts && TimeLeft() >= kLeastTimeToMove;
-  }
+void StreamExchange::AddDetails(nlohmann::ordered_json* line) const {
+  (*line)["first_event_ms"] = m_first_event.count();
+  (*line)["longest_pause_ms"] = m_longest_pause.count();
+  (*line)["path_changes"] = m_repaths;
+  (*line)["queued"] = m_context->queue->Size();
+  (*line)["starts_per_s"] = m_context->queue->StartsPerS(Now());
+  (*line)["load_of_others_known"] = m_context->assumed_instances == 0;
+}
 
-  // Moves the running request to a path that begins with the same engine and leaves `engine`. The
-  // other engines keep its memory, and it is no further send. Returns whether this was begun.
-  bool Repath(const std::string& engine) {
-    if (!m_streaming || m_repaths >= kMaxRepaths) {
-      return false;
-    }
-    PathQuery query = Query();
-    query.first = m_path.hops.front();
-    query.excluded.insert(engine);
-    query.max_load = kMaxLoadResumed;
-    query.max_slowdown = kMaxSlowdown;
-    query.spread = kRepathSpread;
-    PathProblem problem = PathProblem::kNoCover;
-    std::optional<EnginePath> path = m_context->paths->Choose(*m_context->fleet, query, &problem);
-    if (!path) {
-      return false;
-    }
-    ++m_repaths;
-    m_moving = true;
-    const uint64_t generation = ++m_generation;
-    const TimePoint asked = Now();
-    m_context->engines->Repath(
-        m_path.hops.front(), m_caller.id, path->hops,
-        [this, generation, asked, path = *path, engine,
-         alive = std::weak_ptr<int>(m_alive)](OrderOutcome outcome) {
-          if (alive.expired() || generation != m_generation || !m_attempting) {
-            return;
-          }
-          m_moving = false;
-          const bool moved = outcome == OrderOutcome::kStarted || outcome == OrderOutcome::kHolds;
-          LogAttempt(
-              moved ? "moved" : "not_moved",
-              "left " + engine + ", asked " +
-                  std::to_string(std::chrono::duration_cast<Milliseconds>(Now() - asked).count()) +
-                  " ms ago");
-          if (!moved) {
-            // An engine that was to replace the other one is not there or has no room.
-            for (const PathHop& hop : path.hops) {
-              const bool kept =
-                  std::any_of(m_path.hops.begin(), m_path.hops.end(),
-                              [&hop](const PathHop& present) { return present.id == hop.id; });
-              if (!kept) {
-                m_excluded.insert(hop.id);
-              }
-            }
-            if (m_last_bytes <= asked && !Repath(engine) && MayResend()) {
-              MoveAwayFrom({engine}, "an engine stopped, and the path could not be changed");
-            }
-            return;
-          }
-          for (const PathHop& hop : m_path.hops) {
-            m_context->fleet->Release(hop.id, Reservation(hop));
-          }
-          m_path = path;
-          for (const PathHop& hop : m_path.hops) {
-            m_context->fleet->Reserve(hop.id, Reservation(hop));
-          }
-          m_excluded.insert(engine);
-          m_last_bytes = Now();
-          BeginMonitoring();
-          WatchSilence();
-        });
-    return true;
-  }
-
-  double Reservation(const PathHop& hop) const {
-    return m_tokens * (hop.layers.last - hop.layers.first);
-  }
-
-  void EndAttempt() {
-    if (!m_attempting) {
-      return;
-    }
-    m_attempting = false;
-    m_moving = false;
-    ++m_generation;
-    m_context->monitor->End(this);
-    m_silence_timer.reset();
-    m_call->Cancel();
-    for (const PathHop& hop : m_path.hops) {
-      m_context->fleet->Release(hop.id, Reservation(hop));
-    }
-  }
+PathQuery StreamExchange::Query() const {
+  PathQuery query;
+  query.service = m_service;
+  query.profile = m_profile;
+  query.tokens = m_tokens;
+  query.failure_domain = m_context->settings.failure_domain;
+  query.excluded = m_excluded;
+  query.now = Now();
+  query.assumed_instances = m_context->assumed_instances;
+  return query;
+}
 
-  // Memory became free: waiting streams may start.
-  void Freed() { m_context->queue->StartSome(Now()); }
+void StreamExchange::StartAttempt(EnginePath path) {
+  m_path = std::move(path);
+  m_streaming = false;
+  m_scanner.Clear();
+  m_examinations = 0;
+  m_resumed = m_head_sent;
+  for (const PathHop& hop : m_path.hops) {
+    m_context->fleet->Reserve(hop.id, Reservation(hop));
+  }
+  const PathHop& first = m_path.hops.front();
+  nlohmann::ordered_json hops = nlohmann::ordered_json::array();
+  for (const PathHop& hop : m_path.hops) {
+    hops.push_back(hop.id + "=" + std::to_string(hop.layers.first) + "-" +
+                   std::to_string(hop.layers.last));
+  }
+  m_context->log->Write("stream_attempt",
+                        {{"request_id", m_caller.id},
+                         {"path", std::move(hops)},
+                         {"peak_load", m_path.peak_load},
+                         {"cost_ms", m_path.cost_ms},
+                         {"tokens", m_tokens},
+                         {"resume_after", m_last_sent_id.value_or("")},
+                         {"sends", m_sends},
+                         {"queued", m_context->queue->Size()}},
+                        m_sends > 0);
+  HttpCallOptions options;
+  // The path comes from the fleet as it is now, so the engine is listed.
+  options.endpoint = *UpstreamEndpoint(*m_context->fleet, first.id);
+  options.connect_timeout = kConnectTimeout;
+  options.max_idle = MayRepeat() ? kMaxIdle : Milliseconds(0);
+  ++m_sends;
+  m_context->queue->OnStarted(Now());
+  m_attempt_started = Now();
+  m_last_bytes = m_attempt_started;
+  m_attempting = true;
+  m_call = m_context->client->Start(
+      options, ForwardedMessage(first.id, m_path.hops, m_resumed ? m_last_sent_id : std::nullopt),
+      this);
+  BeginMonitoring();
+  WatchSilence();
+}
 
-  void PassOn(const std::string& events) {
-    if (events.empty()) {
-      return;
-    }
-    const TimePoint now = Now();
-    if (!m_head_sent) {
-      WatchSilence();  // From now on, a shorter silence is too long.
-      m_head_sent = true;
-      m_first_event = std::chrono::duration_cast<Milliseconds>(now - m_request.arrived);
-      m_context->metrics->Observe("azuregw_first_event_ms", "",
-                                  static_cast<double>(m_first_event.count()));
-      m_responder->BeginStream(m_head);
-    } else {
-      m_longest_pause = std::max(m_longest_pause,
-                                 std::chrono::duration_cast<Milliseconds>(now - m_last_passed_on));
-    }
-    m_last_passed_on = now;
-    if (m_scanner.LastId()) {
-      m_last_sent_id = m_scanner.LastId();
-    }
-    m_responder->SendChunk(events);
+void StreamExchange::BeginMonitoring() {
+  std::vector<std::string> engines;
+  for (const PathHop& hop : m_path.hops) {
+    engines.push_back(hop.id);
   }
+  m_context->monitor->Begin(this, engines, m_path.step_ms, Now());
+}
 
-  // The engine answered with something else than a stream.
-  void OnRefusalOrFailure() {
-    const int status = m_attempt_status;
-    const std::string first = m_path.hops.front().id;
-    const std::string reason = "status " + std::to_string(status);
-    EndAttempt();
-    if (m_answer.not_run) {
-      --m_sends;
-      std::string fault = first;
-      if (!m_answer.fault_address.empty()) {
-        if (const std::string* named = m_context->fleet->FindByAddress(m_answer.fault_address)) {
-          fault = *named;
-        }
-      }
-      LogAttempt("not_run", reason + " from " + fault);
-      const Upstream* const upstream = m_context->fleet->Find(fault);
-      if (upstream != nullptr && Now() - upstream->last_progress < kWorkedLately) {
-        // It works, so it is short of memory or gives layers up; its streams need no help.
-        m_excluded.insert(fault);
-        m_context->fleet->MarkFull(fault, kFullFor, Now());
-      } else {
-        SuspectEngine(fault, kNamedFor, reason);
-      }
-      Again("engines refuse work: " + reason, true);
-      return;
-    }
-    const bool false_promise = status == 408 || status == 421 || status == 429 || status == 503;
-    if (!m_head_sent && m_answer.sealed && !false_promise &&
-        (status < 500 || !MayRepeat() || m_sends >= Route().max_attempts)) {
-      Deliver(std::move(m_head), "the engine answered " + reason);
-      return;
-    }
-    LogAttempt("failed", reason);
-    m_excluded.insert(first);
-    Again(reason, true);
-  }
+bool StreamExchange::MayResend() const {
+  return MayRepeat() && m_sends < Route().max_attempts && TimeLeft() >= kLeastTimeToMove;
+}
 
-  // The attempt ended without a whole answer.
-  void OnBroken(const std::string& reason, const std::string& engine) {
-    EndAttempt();
-    LogAttempt("broken", reason);
-    if (!engine.empty()) {
-      SuspectEngine(engine, kBrokenFor, reason);
-      m_excluded.insert(engine);
-    }
-    Again(reason, true);
-  }
-
-  // Sends the request again where that is allowed and useful, else ends the exchange. `counted`:
-  // the send takes from the budget of repeats.
-  void Again(const std::string& reason, bool counted) {
-    const bool proved_not_run = m_sends == 0;
-    const bool may =
-        proved_not_run ? ++m_not_run <= kMaxNotRun : MayRepeat() && m_sends < Route().max_attempts;
-    if (!may || TimeLeft() < kLeastTimeToMove ||
-        (counted && !m_context->budget->Take(m_service, Now()))) {
-      GiveUp(reason);
-      return;
-    }
-    if (!TryStart()) {
-      WaitForPath();
-    }
-    Freed();
+double StreamExchange::Reservation(const PathHop& hop) const {
+  return m_tokens * (hop.layers.last - hop.layers.first);
+}
+
+void StreamExchange::EndAttempt() {
+  if (!m_attempting) {
+    return;
+  }
+  m_attempting = false;
+  m_moving = false;
+  ++m_generation;
+  m_context->monitor->End(this);
+  m_silence_timer.reset();
+  m_call->Cancel();
+  for (const PathHop& hop : m_path.hops) {
+    m_context->fleet->Release(hop.id, Reservation(hop));
   }
+}
 
-  void WaitForPath() {
-    std::optional<Milliseconds> wait;
-    if (m_sends > 0) {
-      wait = std::min(kResumeWait, TimeLeft());
-    } else if (!m_waited) {
-      wait = AllowedWait(WaitInputsNow());
+void StreamExchange::PassOn(const std::string& events) {
+  if (events.empty()) {
+    return;
+  }
+  const TimePoint now = Now();
+  if (!m_head_sent) {
+    WatchSilence();  // From now on, a shorter silence is too long.
+    m_head_sent = true;
+    m_first_event = std::chrono::duration_cast<Milliseconds>(now - m_request.arrived);
+    m_context->metrics->Observe("azuregw_first_event_ms", "",
+                                static_cast<double>(m_first_event.count()));
+    m_responder->BeginStream(m_head);
+  } else {
+    m_longest_pause =
+        std::max(m_longest_pause, std::chrono::duration_cast<Milliseconds>(now - m_last_passed_on));
+  }
+  m_last_passed_on = now;
+  if (m_scanner.LastId()) {
+    m_last_sent_id = m_scanner.LastId();
+  }
+  m_responder->SendChunk(events);
+}
+
+void StreamExchange::OnRefusalOrFailure() {
+  const int status = m_attempt_status;
+  const std::string first = m_path.hops.front().id;
+  const std::string reason = "status " + std::to_string(status);
+  EndAttempt();
+  if (m_answer.not_run) {
+    --m_sends;
+    std::string fault = first;
+    if (!m_answer.fault_address.empty()) {
+      if (const std::string* named = m_context->fleet->FindByAddress(m_answer.fault_address)) {
+        fault = *named;
+      }
     }
-    if (!wait) {
-      RefuseForLoad();
-      return;
+    LogAttempt("not_run", reason + " from " + fault);
+    const Upstream* const upstream = m_context->fleet->Find(fault);
+    if (upstream != nullptr && Now() - upstream->last_progress < kWorkedLately) {
+      // It works, so it is short of memory or gives layers up; its streams need no help.
+      m_excluded.insert(fault);
+      m_context->fleet->MarkFull(fault, kFullFor, Now());
+    } else {
+      SuspectEngine(fault, kNamedFor, reason);
     }
-    m_waited = true;
-    m_context->queue->Enter(
-        {this, m_request.arrived, m_request.arrived + Route().target_latency, Priority()});
-    m_wait_timer = m_context->loop->After(*wait, [this] {
-      m_context->queue->Leave(this);
-      if (m_sends > 0) {
-        GiveUp("no path to go on");
-      } else {
-        RefuseForLoad();
-      }
-    });
+    Again("engines refuse work: " + reason, true);
+    return;
   }
-
-  WaitInputs WaitInputsNow() const {
-    WaitInputs inputs;
-    inputs.target_latency = Route().target_latency;
-    inputs.time_left = TimeLeft();
-    // A first try has nearly the whole time of its route.
-    inputs.returning =
-        Route().timeout.count() > 0 && m_caller.deadline &&
-        *m_caller.deadline < Route().timeout - std::min(Route().timeout / 8, Milliseconds(500));
-    inputs.queued_ahead = m_context->queue->Size();
-    inputs.starts_per_s = m_context->queue->StartsPerS(Now());
-    return inputs;
+  const bool false_promise = status == 408 || status == 421 || status == 429 || status == 503;
+  if (!m_head_sent && m_answer.sealed && !false_promise &&
+      (status < 500 || !MayRepeat() || m_sends >= Route().max_attempts)) {
+    Deliver(std::move(m_head), "the engine answered " + reason);
+    return;
   }
+  LogAttempt("failed", reason);
+  m_excluded.insert(first);
+  Again(reason, true);
+}
 
-  int Priority() const {
-    return m_match.workspace != nullptr && m_match.workspace->priority
-               ? *m_match.workspace->priority
-               : Route().priority;
+void StreamExchange::OnBroken(const std::string& reason, const std::string& engine) {
+  EndAttempt();
+  LogAttempt("broken", reason);
+  if (!engine.empty()) {
+    SuspectEngine(engine, kBrokenFor, reason);
+    m_excluded.insert(engine);
   }
+  Again(reason, true);
+}
 
-  void RefuseForLoad() {
-    const bool no_cover = m_path_problem == PathProblem::kNoCover;
-    const WaitInputs inputs = WaitInputsNow();
-    Refuse(no_cover ? ResultCode::kNoChain : ResultCode::kOverloaded,
-           no_cover ? "the usable engines do not hold all layers"
-                    : "no path has memory for the request",
-           RetryAfter(inputs, m_context->random->Unit()));
+void StreamExchange::Again(const std::string& reason, bool counted) {
+  const bool proved_not_run = m_sends == 0;
+  const bool may =
+      proved_not_run ? ++m_not_run <= kMaxNotRun : MayRepeat() && m_sends < Route().max_attempts;
+  if (!may || TimeLeft() < kLeastTimeToMove ||
+      (counted && !m_context->budget->Take(m_service, Now()))) {
+    GiveUp(reason);
+    return;
   }
-
-  void GiveUp(const std::string& reason) {
-    if (Closed()) {
-      return;
-    }
-    if (m_head_sent) {
-      Close(200, "broken_off", reason);
-      m_responder->Break();
-    } else if (m_sends > 0) {
-      Fail(ResultCode::kUpstreamProtocol, reason);
-    } else {
-      Refuse(ResultCode::kOverloaded, reason,
-             RetryAfter(WaitInputsNow(), m_context->random->Unit()));
-    }
+  if (!TryStart()) {
+    WaitForPath();
   }
+  Freed();
+}
 
-  void OnDeadline() override {
+void StreamExchange::WaitForPath() {
+  std::optional<Milliseconds> wait;
+  if (m_sends > 0) {
+    wait = std::min(kResumeWait, TimeLeft());
+  } else if (!m_waited) {
+    wait = AllowedWait(WaitInputsNow());
+  }
+  if (!wait) {
+    RefuseForLoad();
+    return;
+  }
+  m_waited = true;
+  m_context->queue->Enter(
+      {this, m_request.arrived, m_request.arrived + Route().target_latency, Priority()});
+  m_wait_timer = m_context->loop->After(*wait, [this] {
     m_context->queue->Leave(this);
-    EndAttempt();
-    if (m_head_sent) {
-      Close(200, "broken_off", "the deadline has passed");
-      m_responder->Break();
-    } else if (m_sends > 0) {
-      Fail(ResultCode::kUpstreamTimeout, "no event before the deadline");
+    if (m_sends > 0) {
+      GiveUp("no path to go on");
     } else {
-      Refuse(ResultCode::kDeadlineUnreachable, "no path was free before the deadline",
-             std::nullopt);
+      RefuseForLoad();
     }
-    Freed();
-  }
-
-  // ---- Silent paths ----
+  });
+}
 
-  void WatchSilence() {
-    const Milliseconds limit = m_streaming ? kEventSilence : kFirstEventSilence;
-    m_silence_timer = m_context->loop->After(m_examinations > 0 ? kExamineInterval : limit,
-                                             [this] { OnSilenceTimer(); });
-  }
+WaitInputs StreamExchange::WaitInputsNow() const {
+  WaitInputs inputs;
+  inputs.target_latency = Route().target_latency;
+  inputs.time_left = TimeLeft();
+  // A first try has nearly the whole time of its route.
+  inputs.returning =
+      Route().timeout.count() > 0 && m_caller.deadline &&
+      *m_caller.deadline < Route().timeout - std::min(Route().timeout / 8, Milliseconds(500));
+  inputs.queued_ahead = m_context->queue->Size();
+  inputs.starts_per_s = m_context->queue->StartsPerS(Now());
+  return inputs;
+}
 
-  void OnSilenceTimer() {
-    const Milliseconds limit = m_streaming ? kEventSilence : kFirstEventSilence;
-    const auto silence = std::chrono::duration_cast<Milliseconds>(Now() - m_last_bytes);
-    if (silence < limit) {
-      m_examinations = 0;
-      m_silence_timer =
-          m_context->loop->After(limit - silence + Milliseconds(1), [this] { OnSilenceTimer(); });
-      return;
-    }
-    if (m_moving) {
-      WatchSilence();
-      return;
-    }
-    ++m_examinations;
-    if (silence >= kUnexplainedSilence && MayResend()) {
-      MoveAwayFrom(SilentEngines(), "silent for " + std::to_string(silence.count()) + " ms");
-      return;
-    }
-    const uint64_t generation = ++m_generation;
-    const PathHop first = m_path.hops.front();
-    m_context->engines->QueryReport(
-        first.address, EngineControl::kReportTimeLimit,
-        [this, generation, first, alive = std::weak_ptr<int>(m_alive)](Result<EngineReport> state) {
-          if (alive.expired() || generation != m_generation || !m_attempting) {
-            return;
-          }
-          OnReport(first.id, state);
-        });
-    WatchSilence();
-  }
-
-  void OnReport(const std::string& first, const Result<EngineReport>& state) {
-    if (!state) {
-      MoveAwayFrom({first}, "the first engine does not report: " + state.error().message);
-      return;
-    }
-    for (const StalledRequest& stalled : state.value().stalled) {
-      if (stalled.request_id != m_caller.id) {
-        continue;
-      }
-      if (const std::string* id = m_context->fleet->FindByAddress(stalled.address)) {
-        SuspectEngine(*id, kSilentFor, "stalled");
-        LeaveEngine(*id, true);
-        return;
-      }
-    }
-  }
+int StreamExchange::Priority() const {
+  return m_match.workspace != nullptr && m_match.workspace->priority ? *m_match.workspace->priority
+                                                                     : Route().priority;
+}
 
-  // Engines of the path on which no stream of this instance made progress during the silence.
-  std::set<std::string> SilentEngines() const {
-    std::set<std::string> silent;
-    for (const PathHop& hop : m_path.hops) {
-      const Upstream* const upstream = m_context->fleet->Find(hop.id);
-      if (upstream == nullptr || upstream->last_progress <= m_last_bytes) {
-        silent.insert(hop.id);
-      }
-    }
-    return silent;
-  }
+void StreamExchange::RefuseForLoad() {
+  const bool no_cover = m_path_problem == PathProblem::kNoCover;
+  const WaitInputs inputs = WaitInputsNow();
+  Refuse(
+      no_cover ? ResultCode::kNoChain : ResultCode::kOverloaded,
+      no_cover ? "the usable engines do not hold all layers" : "no path has memory for the request",
+      RetryAfter(inputs, m_context->random->Unit()));
+}
 
-  void MoveAwayFrom(const std::set<std::string>& engines, const std::string& reason) {
-    EndAttempt();
-    LogAttempt("silent", reason);
-    for (const std::string& id : engines) {
-      SuspectEngine(id, kSilentFor, reason);
-      m_excluded.insert(id);
-    }
-    Again(reason, true);
+void StreamExchange::GiveUp(const std::string& reason) {
+  if (Closed()) {
+    return;
   }
-
-  void SuspectEngine(const std::string& id, Milliseconds duration, const std::string& reason) {
-    if (m_context->fleet->Suspect(id, duration, Now())) {
-      m_context->log->Write("upstream_suspect",
-                            {{"upstream", id},
-                             {"reason", reason},
-                             {"for_ms", duration.count()},
-                             {"request_id", m_caller.id}},
-                            true);
-    }
+  if (m_head_sent) {
+    Close(200, "broken_off", reason);
+    m_responder->Break();
+  } else if (m_sends > 0) {
+    Fail(ResultCode::kUpstreamProtocol, reason);
+  } else {
+    Refuse(ResultCode::kOverloaded, reason, RetryAfter(WaitInputsNow(), m_context->random->Unit()));
   }
+}
 
-  void LogAttempt(const char* outcome, const std::string& reason) {
-    const auto took = std::chrono::duration_cast<Milliseconds>(Now() - m_attempt_started);
-    m_context->log->Write("attempt_ended",
-                          {{"request_id", m_caller.id},
-                           {"upstream", m_path.hops.front().id},
-                           {"outcome", outcome},
-                           {"reason", reason},
-                           {"last_event", m_last_sent_id.value_or("")},
-                           {"sends", m_sends},
-                           {"took_ms", took.count()}},
-                          true);
-  }
-
-  const EngineProfile* m_profile = nullptr;  // Owned by the configuration of `m_match`.
-  double m_tokens = 0;                       // Reserved at each engine of the path.
-  std::set<std::string> m_excluded;          // Engines that failed this request.
-  PathProblem m_path_problem = PathProblem::kNoMemory;
-  bool m_waited = false;
-  int m_not_run = 0;
-
-  // The present attempt.
-  bool m_attempting = false;  // `m_path` is reserved and `m_call` runs.
-  EnginePath m_path;
-  std::shared_ptr<ClientCall> m_call;
-  UpstreamAnswer m_answer;
-  int m_attempt_status = 0;
-  bool m_streaming = false;  // The engine's answer is a stream of its own.
-  bool m_resumed = false;    // It goes on after `m_last_sent_id`.
-  TimePoint m_attempt_started;
-  TimePoint m_last_bytes;
-  int m_examinations = 0;
-  int m_moves = 0;            // To other paths, with the prompt read again.
-  bool m_left_slow = false;   // A slow engine was left.
-  int m_repaths = 0;          // Of this request, in which the first engine stayed.
-  bool m_moving = false;      // The first engine was asked to change the path.
-  uint64_t m_generation = 0;  // Of questions to engines; answers to older ones are ignored.
-
-  WholeReply m_head;  // Of the first stream; a failure's body as well.
-  bool m_head_sent = false;
-  EventScanner m_scanner;
-  std::optional<std::string> m_last_sent_id;
-  TimePoint m_last_passed_on;
-  Milliseconds m_first_event{-1};   // After the request's arrival; -1: none was passed on.
-  Milliseconds m_longest_pause{0};  // Between events passed on.
-  std::unique_ptr<Timer> m_wait_timer;
-  std::unique_ptr<Timer> m_silence_timer;
-  // Expires with the exchange, for answers to questions that outlive it.
-  std::shared_ptr<int> m_alive = std::make_shared<int>(0);
-};
+void StreamExchange::OnDeadline() {
+  m_context->queue->Leave(this);
+  EndAttempt();
+  if (m_head_sent) {
+    Close(200, "broken_off", "the deadline has passed");
+    m_responder->Break();
+  } else if (m_sends > 0) {
+    Fail(ResultCode::kUpstreamTimeout, "no event before the deadline");
+  } else {
+    Refuse(ResultCode::kDeadlineUnreachable, "no path was free before the deadline", std::nullopt);
+  }
+  Freed();
+}
 
-}  // namespace
+void StreamExchange::LogAttempt(const char* outcome, const std::string& reason) {
+  const auto took = std::chrono::duration_cast<Milliseconds>(Now() - m_attempt_started);
+  m_context->log->Write("attempt_ended",
+                        {{"request_id", m_caller.id},
+                         {"upstream", m_path.hops.front().id},
+                         {"outcome", outcome},
+                         {"reason", reason},
+                         {"last_event", m_last_sent_id.value_or("")},
+                         {"sends", m_sends},
+                         {"took_ms", took.count()}},
+                        true);
+}
 
 std::unique_ptr<ForwardExchange> MakeStreamExchange(ForwardContext* context,
                                                     IncomingRequest request, CallerRequest caller,
--- a/src/net/status_server.cc
+++ b/src/net/status_server.cc
@@ -12,6 +12,8 @@
 #include <chrono>
 #include <utility>
 
+#include "azuregw/net/endpoint.h"
+
 namespace azuregw {
 namespace {
 
@@ -85,20 +87,9 @@
         m_answer(std::make_shared<const Answer>(std::move(answer))) {}
 
   Result<void> Listen(const tcp::endpoint& endpoint) {
-    error_code error;
-    m_acceptor.open(endpoint.protocol(), error);
-    if (!error) {
-      m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    }
-    if (!error) {
-      m_acceptor.bind(endpoint, error);
-    }
-    if (!error) {
-      m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-      return NotRun(ResultCode::kPortInUse,
-                    "port " + std::to_string(endpoint.port()) + ": " + error.message());
+    const Result<void> opened = OpenAcceptor(endpoint, "status address", &m_acceptor);
+    if (!opened) {
+      return opened;
     }
     Accept();
     return boost::outcome_v2::success();
--- a/src/sync/load_exchange.cc
+++ b/src/sync/load_exchange.cc
@@ -7,10 +7,10 @@
 #include <boost/asio/write.hpp>
 #include <deque>
 #include <set>
-#include <string_view>
 #include <utility>
 #include <vector>
 
+#include "azuregw/net/endpoint.h"
 #include "azuregw/peer/frame_decoder.h"
 #include "schemas/generated/fleet_load_generated.h"
 
@@ -199,17 +199,7 @@
 // The "IP:port" at the end of what the holder stored with its duty.
 std::optional<tcp::endpoint> HolderEndpoint(const std::string& value) {
   const size_t space = value.rfind(' ');
-  const size_t colon = value.rfind(':');
-  if (space == std::string::npos || colon == std::string::npos || colon < space) {
-    return std::nullopt;
-  }
-  error_code error;
-  const auto address = asio::ip::make_address(value.substr(space + 1, colon - space - 1), error);
-  const unsigned long port = std::strtoul(value.c_str() + colon + 1, nullptr, 10);
-  if (error || port == 0 || port > 65535) {
-    return std::nullopt;
-  }
-  return tcp::endpoint(address, static_cast<uint16_t>(port));
+  return space == std::string::npos ? std::nullopt : ParseEndpoint(value.substr(space + 1));
 }
 
 class TcpLoadExchange final : public LoadExchange {
@@ -225,23 +215,7 @@
         m_log(log),
         m_acceptor(*io) {}
 
-  Result<void> Listen() {
-    error_code error;
-    m_acceptor.open(m_address.protocol(), error);
-    if (!error) {
-      m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    }
-    if (!error) {
-      m_acceptor.bind(m_address, error);
-    }
-    if (!error) {
-      m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-      return NotRun(ResultCode::kPortInUse, "peer address: " + error.message());
-    }
-    return boost::outcome_v2::success();
-  }
+  Result<void> Listen() { return OpenAcceptor(m_address, "peer address", &m_acceptor); }
 
   void Start() override {
     Accept();
--- a/tests/forward/stream_exchange_test.cc
+++ b/tests/forward/stream_exchange_test.cc
@@ -213,6 +213,23 @@
   BOOST_TEST(f.engines.repaths.size() == 1U);
 }
 
+// Guards against an answer that is broken off because its engine is silent for a while, where it
+// cannot go on at another one.
+BOOST_AUTO_TEST_CASE(silent_stream_that_may_not_be_resumed_is_waited_for) {
+  GatewayFixture f;
+  const auto exchange = f.Start("/final/1");
+  f.engines.silent = true;
+  f.Call(0).Head(200, true);
+  f.Call(0).Body(Event(1));
+  f.loop.Advance(Milliseconds(3000));
+  BOOST_TEST(f.engines.questions > 0);
+  BOOST_TEST(f.responder.ends == 0);
+  f.Call(0).Body(Event(2));
+  f.Call(0).Done();
+  BOOST_TEST(f.responder.complete);
+  BOOST_TEST(f.client.calls.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(caller_who_leaves_frees_the_memory) {
   GatewayFixture f;
   auto exchange = f.Start("/stream/1");
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -9,7 +9,7 @@
 #include <string>
 #include <utility>
 
-#include "platform/json_call.h"
+#include "azuregw/net/endpoint.h"
 #include "tests/fakes/scripted_server.h"
 
 namespace azuregw::platform {
--- a/tests/support/fake_gateway.h
+++ b/tests/support/fake_gateway.h
@@ -152,7 +152,11 @@
   void QueryReport(const std::string& /*address*/, Milliseconds /*limit*/,
                    std::function<void(Result<EngineReport>)> done) override {
     ++questions;
-    done(report);
+    if (silent) {
+      done(Unknown(ResultCode::kUpstreamTimeout, "silent"));
+    } else {
+      done(report);
+    }
   }
   void Place(const PlaceOrder& /*order*/, std::function<void(OrderOutcome)> done) override {
     done(OrderOutcome::kStarted);
@@ -164,13 +168,15 @@
   }
 
   int questions = 0;
+  bool silent = false;  // Reports are not answered.
   EngineReport report;
   std::vector<std::vector<PathHop>> repaths;
   OrderOutcome repath_outcome = OrderOutcome::kStarted;
 };
 
 // A service "model" with three engines for each of two ranges, and a service "orders" with three
-// upstreams. Routes: /order/ (once), /look/ (repeatable), /stream/ (resumable).
+// upstreams. Routes: /order/ (once), /look/ (repeatable), /stream/ (resumable),
+// /final/ (a stream that may not be resumed).
 class GatewayFixture {
  public:
   GatewayFixture() {
@@ -185,6 +191,8 @@
     AddRoute(&config, "/order/", RepeatRule::kOnce, "orders", 1);
     AddRoute(&config, "/look/", RepeatRule::kRepeatable, "orders", 2);
     AddRoute(&config, "/stream/", RepeatRule::kStream, "model", 2);
+    AddRoute(&config, "/final/", RepeatRule::kStream, "model", 2);
+    config.routes.back().resumable = false;
     config.workspaces.push_back({"w", {"k"}, std::nullopt});
     routes.Adopt(std::make_shared<const RoutingConfig>(std::move(config)));
     std::vector<UpstreamRecord> records;
