State once which statuses promise that a request has not run; drop dead state

Found by reading the whole change again: plain and streamed exchanges each listed the four statuses (now PromisesNotRun), a flag of plain exchanges and two fields of UpstreamAnswer were never read.

Behaviour is unchanged.

--- a/include/azuregw/forward/wire_protocol.h
+++ b/include/azuregw/forward/wire_protocol.h
@@ -41,8 +41,6 @@
   bool not_run = false;       // The upstream states that it has not run the request.
   std::string fault_address;  // Of the engine that caused the refusal; empty: the upstream itself.
   std::optional<int> load;    // Requests running and waiting at the upstream.
-  std::optional<int> slots;
-  Milliseconds keep_alive{0};  // How long the upstream keeps an idle connection; 0: not said.
 };
 
 class WireProtocol {
--- a/src/forward/exchange_base.h
+++ b/src/forward/exchange_base.h
@@ -68,6 +68,12 @@
 // The header fields of an upstream's answer that go on to the caller.
 HttpFields EndToEndFields(const HttpFields& fields);
 
+// Whether callers take the status for a promise that the request has not run. An answer with such a
+// status is passed on only if its upstream proves that.
+inline bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 // A failure or refusal made by azuregw.
 WholeReply OwnReply(int status, ResultCode code, RunOutcome outcome, const std::string& message,
                     const std::string& request_id, std::string_view request_id_header,
--- a/src/forward/plain_exchange.cc
+++ b/src/forward/plain_exchange.cc
@@ -90,17 +90,13 @@
       End(attempt);
       --m_sends;
       LogAttempt(*attempt, "not_run", "status " + std::to_string(status));
-      m_refused = true;
       if (++m_not_run <= kMaxNotRun && TakeRepeat() && SendNext()) {
         return;
       }
       GiveUp("the upstreams refuse work");
       return;
     }
-    // Statuses that promise that a request has not run must not be passed on without that promise.
-    const bool false_promise = status == 408 || status == 421 || status == 429 || status == 503;
-    const bool own_answer = answer.sealed && !false_promise;
-    if (!own_answer) {
+    if (!answer.sealed || PromisesNotRun(status)) {
       OnBroken(attempt, "answer without the upstream's mark, status " + std::to_string(status));
       return;
     }
@@ -278,7 +274,6 @@
   std::vector<std::unique_ptr<Attempt>> m_attempts;
   std::optional<WholeReply> m_failure;  // An upstream's own failure, if nothing better comes.
   int m_not_run = 0;
-  bool m_refused = false;
   std::unique_ptr<Timer> m_hedge_timer;
 };
 
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -302,8 +302,7 @@
     Again("engines refuse work: " + reason, true);
     return;
   }
-  const bool false_promise = status == 408 || status == 421 || status == 429 || status == 503;
-  if (!m_head_sent && m_answer.sealed && !false_promise &&
+  if (!m_head_sent && m_answer.sealed && !PromisesNotRun(status) &&
       (status < 500 || !MayRepeat() || m_sends >= Route().max_attempts)) {
     Deliver(std::move(m_head), "the engine answered " + reason);
     return;
