Relay configuration and upstreams through the duty's holder

The holder of the layout duty also summed the reports once for each link, which grows with the square of the instances, and sent ids as text: about 19 Mbit/s at 89 instances, as much as a small machine's link carries.

Change: the holder sends the configuration, the changes of the list and one sum of all loads; an instance subtracts its own part. Each report carries the sender's clock, which comes back with the ages counted from its arrival, so that held-up news never looks fresh. Upstreams are named by numbers. Instances with little processor time ask for the duty later.

Ruled out: sending the whole list each time (13 KB x 88 instances, twice a second).

--- a/include/azuregw/fleet/fleet.h
+++ b/include/azuregw/fleet/fleet.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -34,6 +35,13 @@
   uint64_t order_sequence = 0;
   std::string accelerator;  // Empty for plain services.
   std::optional<LayerRange> layers;
+
+  friend bool operator==(const UpstreamRecord& a, const UpstreamRecord& b) {
+    return std::tie(a.id, a.service, a.address, a.failure_domain, a.slots, a.draining,
+                    a.warmup_left_ms, a.started_ms, a.order_sequence, a.accelerator, a.layers) ==
+           std::tie(b.id, b.service, b.address, b.failure_domain, b.slots, b.draining,
+                    b.warmup_left_ms, b.started_ms, b.order_sequence, b.accelerator, b.layers);
+  }
 };
 
 // What one instance has in progress at one upstream.
@@ -84,6 +92,9 @@
   std::vector<FleetChange> Update(std::vector<UpstreamRecord> records, bool after_outage,
                                   TimePoint now);
 
+  // Whether entries that vanished in an outage are kept; only Update() removes them.
+  bool KeepsMissing() const { return !m_missing.empty(); }
+
   // `id` gets no new work for `duration`. Returns whether this is news.
   bool Suspect(const std::string& id, Milliseconds duration, TimePoint now);
   // The same for an engine that does not answer; its streams are to be moved.
--- a/include/azuregw/fleet/load_ledger.h
+++ b/include/azuregw/fleet/load_ledger.h
@@ -2,36 +2,46 @@
 //
 // Decision module: no I/O. The holder of the layout duty keeps one; with a load known to all within
 // a fraction of a second, instances that each have few streams do not overfill the same engines.
+// The sum is the same for all instances, so that its cost grows with their number and not with its
+// square; each one subtracts its own part.
 
 #ifndef AZUREGW_FLEET_LOAD_LEDGER_H_
 #define AZUREGW_FLEET_LOAD_LEDGER_H_
 
 #include <map>
-#include <string>
-#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "azuregw/base/clock.h"
 #include "azuregw/fleet/fleet.h"
+#include "azuregw/fleet/upstream_numbers.h"
 
 namespace azuregw {
 
+// Number that the holder gave an instance.
+using InstanceNumber = uint16_t;
+
+struct LoadShare {
+  UpstreamNumber upstream = 0;
+  UpstreamLoad load;
+};
+
 struct SuspectReport {
-  std::string id;
+  UpstreamNumber upstream = 0;
+  InstanceNumber reporter = 0;
   Milliseconds remaining{0};
   bool stopped = false;  // It does not answer at all.
 };
 
 struct PaceReport {
-  std::string id;
-  double pace = 1;  // Above 1: slower than its kind.
+  UpstreamNumber upstream = 0;
+  InstanceNumber reporter = 0;
   Milliseconds remaining{0};
+  double pace = 1;  // Above 1: slower than its kind.
 };
 
 struct LoadReport {
-  std::string instance;
-  int instances = 0;  // Set by the holder.
-  std::unordered_map<std::string, UpstreamLoad> loads;
+  std::vector<LoadShare> loads;
   std::vector<SuspectReport> suspects;
   std::vector<PaceReport> paces;
 };
@@ -39,24 +49,31 @@
 class LoadLedger {
  public:
   // Reports that are older belong to instances that are gone or cut off; their streams are ending.
-  static constexpr Milliseconds kReportLife{1500};
+  static constexpr Milliseconds kReportLife{2000};
 
-  void Add(LoadReport report, TimePoint now);
-  // The sum of the reports of all but `instance`, and all their suspects and paces.
-  LoadReport OthersOf(const std::string& instance, TimePoint now);
+  // Replaces the report of `instance`.
+  void Add(InstanceNumber instance, LoadReport report, TimePoint now);
+  // The sum over all instances, with the longest suspicion and pace of each upstream.
+  LoadReport Totals(TimePoint now);
+  // Instances whose report is in the last totals.
+  int Instances() const { return static_cast<int>(m_reports.size()); }
 
  private:
   struct Entry {
     LoadReport report;
     TimePoint received;
   };
-  std::map<std::string, Entry> m_reports;
+  std::map<InstanceNumber, Entry> m_reports;
 };
 
-// What `fleet` has in progress here, as a report of `instance`.
-LoadReport OwnLoad(const Fleet& fleet, const std::string& instance, TimePoint now);
-// Takes over what the others have in progress and suspect.
-void ApplyOthers(const LoadReport& others, Fleet* fleet, TimePoint now);
+// What `fleet` has in progress here and what was found here, as a report of `reporter`. Upstreams
+// without a number are left out.
+LoadReport OwnLoad(const Fleet& fleet, const UpstreamNumbers& numbers, InstanceNumber reporter,
+                   TimePoint now);
+// Takes over what the others have in progress and suspect: `totals` without `own`, the report of
+// `reporter` that is part of them.
+void ApplyTotals(const LoadReport& totals, const LoadReport& own, InstanceNumber reporter,
+                 const UpstreamNumbers& numbers, Fleet* fleet, TimePoint now);
 
 }  // namespace azuregw
 
--- a/include/azuregw/forward/gateway_settings.h
+++ b/include/azuregw/forward/gateway_settings.h
@@ -18,6 +18,8 @@
   boost::asio::ip::tcp::endpoint readiness_address;
   boost::asio::ip::tcp::endpoint peer_address;
   boost::asio::ip::tcp::endpoint store_address;
+  // Processor time of the instance, in cores.
+  double cpu_share = 1;
   // Stops are forced this long after they were asked for.
   Milliseconds stop_grace{8000};
   // Keys may be honoured at most this long after their removal; 0: no bound.
--- a/include/azuregw/placement/duty_lease.h
+++ b/include/azuregw/placement/duty_lease.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -27,6 +28,11 @@
   static constexpr Milliseconds kLookInterval{1000};
   // Instances that see the duty free ask for it after a random share of this.
   static constexpr Milliseconds kAcquireSpread{400};
+  // The holder reads the store for all and talks to all, so instances with little processor time
+  // wait up to this much longer.
+  static constexpr Milliseconds kSmallInstanceDelay{600};
+  // From this share of a core on, an instance does not wait.
+  static constexpr double kAmpleCpuShare = 0.5;
   // Stops this long before the lease can end in the store.
   static constexpr Milliseconds kStopMargin{400};
 
@@ -42,6 +48,11 @@
         m_value(std::move(value)) {}
 
   void Start();
+  void SetCpuShare(double share);
+  // The holder was heard, so there is no need to look whether the duty is free.
+  void OnHolderHeard() { m_holder_heard = m_loop->Now(); }
+  // The connection to the holder was lost.
+  void LookNow();
   // Gives the duty up and does not ask for it again.
   void Stop();
   // Gives the duty up after another holder was met, and asks again later.
@@ -71,6 +82,8 @@
   uint64_t m_token = 0;  // 0: not held.
   TimePoint m_held_until;
   std::string m_holder_value;
+  std::optional<TimePoint> m_holder_heard;
+  Milliseconds m_delay{0};  // Before it asks for a free duty.
   std::unique_ptr<Timer> m_timer;
 };
 
--- a/include/azuregw/routes/route_table.h
+++ b/include/azuregw/routes/route_table.h
@@ -42,6 +42,8 @@
   const std::shared_ptr<const RoutingConfig>& Config() const { return m_config; }
   uint64_t Version() const { return m_config == nullptr ? 0 : m_config->version; }
   std::optional<Milliseconds> Age(TimePoint now) const;
+  // When the configuration in force was last known to be the newest one.
+  std::optional<TimePoint> Confirmed() const { return m_confirmed; }
 
  private:
   const Milliseconds m_max_age;
--- a/include/azuregw/sync/upstream_lister.h
+++ b/include/azuregw/sync/upstream_lister.h
@@ -1,7 +1,8 @@
 // Keeps the fleet at the list of upstreams in the store.
 //
 // The list is read as a whole: every entry changes with each heartbeat, so a watch would transfer
-// as much and call more often.
+// as much and call more often. While an instance that reads it for the others keeps it fresh, this
+// instance does not call the store.
 
 #ifndef AZUREGW_SYNC_UPSTREAM_LISTER_H_
 #define AZUREGW_SYNC_UPSTREAM_LISTER_H_
@@ -11,13 +12,16 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 #include "azuregw/base/event_loop.h"
 #include "azuregw/fleet/fleet.h"
 #include "azuregw/kv/async_key_value_store.h"
 #include "azuregw/logging/decision_log.h"
 #include "azuregw/sync/platform_codec.h"
+#include "azuregw/sync/upstream_relay.h"
 
 namespace azuregw {
 
@@ -25,6 +29,11 @@
  public:
   // Engines that are leaving must get no work later than 2 s after the store knows it.
   static constexpr Milliseconds kInterval{900};
+  // The same while other instances depend on it: the way to them adds to the age.
+  static constexpr Milliseconds kRelayingInterval{500};
+  // A list through another instance makes calls of this one's own needless while it is younger.
+  static constexpr Milliseconds kRelayTrust{1500};
+  static constexpr Milliseconds kRelayCheck{100};
   static constexpr Milliseconds kAfterFailure{300};
   // Without contact for longer, upstreams may have lapsed while the store was away.
   static constexpr Milliseconds kOutage{1800};
@@ -36,12 +45,20 @@
   void Start() { Read(); }
   // Called after each change of the fleet.
   void SetListener(std::function<void()> listener) { m_listener = std::move(listener); }
-  // Time since the store last answered; nullopt before the first answer.
+  // Other instances depend on what this one reads.
+  void SetRelaying(bool relaying) { m_relaying = relaying; }
+  // Another instance's list, which the store confirmed at `confirmed`; `changed` since the last
+  // call.
+  void OnRelayed(const RelayedUpstreams& list, bool changed, TimePoint confirmed);
+  // When the list was last known to be that of the store; nullopt before the first answer.
+  std::optional<TimePoint> Confirmed() const { return m_listed; }
   std::optional<Milliseconds> Age() const;
 
  private:
+  void Next();
   void Read();
   void Apply(const KvListing& listing, TimePoint sent);
+  void Adopt(std::vector<UpstreamRecord> records, bool after_outage, std::string_view source);
 
   EventLoop* const m_loop;
   AsyncKeyValueStore* const m_store;
@@ -51,6 +68,9 @@
   std::function<void()> m_listener;
   std::optional<TimePoint> m_listed;
   bool m_failing = false;
+  bool m_relaying = false;
+  std::optional<TimePoint> m_relayed;  // Last confirmation through another instance.
+  bool m_relay_pending = true;         // The relayed list differs from the one in force.
   std::set<std::string> m_unreadable;  // Keys whose unreadable value was logged.
   std::unique_ptr<Timer> m_timer;
 };
--- a/src/fleet/load_ledger.cc
+++ b/src/fleet/load_ledger.cc
@@ -3,75 +3,130 @@
 #include "azuregw/fleet/load_ledger.h"
 
 #include <algorithm>
-#include <utility>
+#include <string>
+#include <unordered_map>
 
 namespace azuregw {
+namespace {
 
-void LoadLedger::Add(LoadReport report, TimePoint now) {
-  const std::string instance = report.instance;
+Milliseconds Remaining(TimePoint until, TimePoint now) {
+  return std::chrono::duration_cast<Milliseconds>(until - now);
+}
+
+// Keeps the report of each key that lasts longest.
+template <typename Key, typename Report>
+void KeepLongest(std::map<Key, Report>* best, Key key, Report report, Milliseconds age) {
+  if (report.remaining <= age) {
+    return;
+  }
+  report.remaining -= age;
+  const auto found = best->emplace(key, report).first;
+  if (found->second.remaining < report.remaining) {
+    found->second = report;
+  }
+}
+
+}  // namespace
+
+void LoadLedger::Add(InstanceNumber instance, LoadReport report, TimePoint now) {
   m_reports[instance] = Entry{std::move(report), now};
 }
 
-LoadReport LoadLedger::OthersOf(const std::string& instance, TimePoint now) {
-  LoadReport sum;
-  sum.instances = 1;
+LoadReport LoadLedger::Totals(TimePoint now) {
+  std::map<UpstreamNumber, UpstreamLoad> loads;
+  std::map<std::pair<UpstreamNumber, bool>, SuspectReport> suspects;
+  std::map<UpstreamNumber, PaceReport> paces;
   for (auto entry = m_reports.begin(); entry != m_reports.end();) {
     const auto age = std::chrono::duration_cast<Milliseconds>(now - entry->second.received);
     if (age > kReportLife) {
       entry = m_reports.erase(entry);
       continue;
     }
-    if (entry->first != instance) {
-      ++sum.instances;
-      for (const auto& [id, load] : entry->second.report.loads) {
-        UpstreamLoad& total = sum.loads[id];
-        total.token_layers += load.token_layers;
-        total.requests += load.requests;
-      }
-      for (const SuspectReport& suspect : entry->second.report.suspects) {
-        if (suspect.remaining > age) {
-          sum.suspects.push_back({suspect.id, suspect.remaining - age, suspect.stopped});
-        }
-      }
-      for (const PaceReport& pace : entry->second.report.paces) {
-        if (pace.remaining > age) {
-          sum.paces.push_back({pace.id, pace.pace, pace.remaining - age});
-        }
-      }
+    const LoadReport& report = entry->second.report;
+    for (const LoadShare& share : report.loads) {
+      UpstreamLoad& total = loads[share.upstream];
+      total.token_layers += share.load.token_layers;
+      total.requests += share.load.requests;
+    }
+    for (const SuspectReport& suspect : report.suspects) {
+      KeepLongest(&suspects, std::make_pair(suspect.upstream, suspect.stopped), suspect, age);
+    }
+    for (const PaceReport& pace : report.paces) {
+      KeepLongest(&paces, pace.upstream, pace, age);
     }
     ++entry;
   }
-  return sum;
+  LoadReport totals;
+  for (const auto& [upstream, load] : loads) {
+    totals.loads.push_back({upstream, load});
+  }
+  for (const auto& [key, suspect] : suspects) {
+    totals.suspects.push_back(suspect);
+  }
+  for (const auto& [upstream, pace] : paces) {
+    totals.paces.push_back(pace);
+  }
+  return totals;
 }
 
-LoadReport OwnLoad(const Fleet& fleet, const std::string& instance, TimePoint now) {
+LoadReport OwnLoad(const Fleet& fleet, const UpstreamNumbers& numbers, InstanceNumber reporter,
+                   TimePoint now) {
   LoadReport report;
-  report.instance = instance;
   for (const auto& [id, upstream] : fleet.All()) {
+    const bool suspect = upstream.own_suspect_until > now;
+    const bool pace = upstream.pace_asked_here && upstream.slowdown_until > now;
+    if (upstream.own.requests == 0 && !suspect && !pace) {
+      continue;
+    }
+    const std::optional<UpstreamNumber> number = numbers.NumberOf(id);
+    if (!number) {
+      continue;
+    }
     if (upstream.own.requests > 0) {
-      report.loads[id] = upstream.own;
+      report.loads.push_back({*number, upstream.own});
     }
-    if (upstream.own_suspect_until > now) {
-      report.suspects.push_back(
-          {id, std::chrono::duration_cast<Milliseconds>(upstream.own_suspect_until - now),
-           upstream.stopped_until > now});
+    if (suspect) {
+      report.suspects.push_back({*number, reporter, Remaining(upstream.own_suspect_until, now),
+                                 upstream.stopped_until > now});
     }
-    if (upstream.pace_asked_here && upstream.slowdown_until > now) {
+    if (pace) {
       report.paces.push_back(
-          {id, upstream.slowdown,
-           std::chrono::duration_cast<Milliseconds>(upstream.slowdown_until - now)});
+          {*number, reporter, Remaining(upstream.slowdown_until, now), upstream.slowdown});
     }
   }
   return report;
 }
 
-void ApplyOthers(const LoadReport& others, Fleet* fleet, TimePoint now) {
-  fleet->SetOthers(others.loads);
-  for (const SuspectReport& suspect : others.suspects) {
-    fleet->SuspectByReport(suspect.id, suspect.remaining, suspect.stopped, now);
+void ApplyTotals(const LoadReport& totals, const LoadReport& own, InstanceNumber reporter,
+                 const UpstreamNumbers& numbers, Fleet* fleet, TimePoint now) {
+  std::unordered_map<std::string, UpstreamLoad> others;
+  for (const LoadShare& share : totals.loads) {
+    if (const std::string* const id = numbers.IdOf(share.upstream)) {
+      others[*id] = share.load;
+    }
   }
-  for (const PaceReport& pace : others.paces) {
-    fleet->PaceByReport(pace.id, pace.pace, pace.remaining, now);
+  for (const LoadShare& share : own.loads) {
+    const std::string* const id = numbers.IdOf(share.upstream);
+    const auto found = id == nullptr ? others.end() : others.find(*id);
+    if (found != others.end()) {
+      UpstreamLoad& rest = found->second;
+      // Sums travel as single-precision numbers.
+      rest.token_layers = std::max(0.0, rest.token_layers - share.load.token_layers);
+      rest.requests = std::max(0, rest.requests - share.load.requests);
+    }
+  }
+  fleet->SetOthers(others);
+  for (const SuspectReport& suspect : totals.suspects) {
+    const std::string* const id = numbers.IdOf(suspect.upstream);
+    if (id != nullptr && suspect.reporter != reporter) {
+      fleet->SuspectByReport(*id, suspect.remaining, suspect.stopped, now);
+    }
+  }
+  for (const PaceReport& pace : totals.paces) {
+    const std::string* const id = numbers.IdOf(pace.upstream);
+    if (id != nullptr && pace.reporter != reporter) {
+      fleet->PaceByReport(*id, pace.pace, pace.remaining, now);
+    }
   }
 }
 
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -18,7 +18,7 @@
 #include "azuregw/placement/duty_lease.h"
 #include "azuregw/placement/layout_runner.h"
 #include "azuregw/sync/config_watcher.h"
-#include "azuregw/sync/load_exchange.h"
+#include "azuregw/sync/state_exchange.h"
 #include "azuregw/sync/upstream_lister.h"
 #include "forward/engine_watch.h"
 
@@ -115,18 +115,24 @@
       // Traffic matters more than its figures.
       m_log->Write("metrics_unavailable", {{"reason", metrics.error().message}}, true);
     }
-    auto load =
-        MakeLoadExchange(&m_io, m_loop.get(), m_context.settings, &m_duty, &m_fleet, m_log.get());
-    if (!load) {
-      return Fatal(load.error());
+    auto exchange =
+        MakeStateExchange(&m_io, m_loop.get(), m_context.settings,
+                          {&m_duty, &m_fleet, &m_config_watcher, &m_lister, m_log.get()});
+    if (!exchange) {
+      return Fatal(exchange.error());
     }
-    m_load = std::move(load.value());
-    m_lister.SetListener([this] { m_queue.StartSome(m_loop->Now()); });
+    m_exchange = std::move(exchange.value());
+    m_config_watcher.SetListener([this] { m_exchange->Push(); });
+    m_lister.SetListener([this] {
+      m_exchange->Push();
+      m_queue.StartSome(m_loop->Now());
+    });
+    m_duty.SetCpuShare(m_context.settings.cpu_share);
     m_config_watcher.Start();
     m_lister.Start();
     m_duty.Start();
     m_layout.Start();
-    m_load->Start();
+    m_exchange->Start();
     WaitForSignal();
     AcceptWhenKnown();
     TickQueue();
@@ -202,7 +208,7 @@
 
   void TickQueue() {
     m_queue_timer = m_loop->After(kQueueTick, [this] {
-      const std::optional<int> instances = m_load->Instances();
+      const std::optional<int> instances = m_exchange->Instances();
       m_context.assumed_instances = instances ? 0 : m_last_instances;
       if (instances && *instances != m_last_instances) {
         m_last_instances = *instances;
@@ -293,7 +299,7 @@
   std::unique_ptr<Timer> m_accept_timer;
   const TimePoint m_started = m_loop->Now();
   std::unique_ptr<Timer> m_stop_timer;
-  std::unique_ptr<LoadExchange> m_load;
+  std::unique_ptr<StateExchange> m_exchange;
   int m_last_instances = kAssumedInstances;  // As last known.
   bool m_stopping = false;
   bool m_was_ready = false;
--- a/src/placement/duty_lease.cc
+++ b/src/placement/duty_lease.cc
@@ -2,6 +2,7 @@
 
 #include "azuregw/placement/duty_lease.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace azuregw {
@@ -12,6 +13,19 @@
 
 void DutyLease::Start() { Look(); }
 
+void DutyLease::SetCpuShare(double share) {
+  const double missing = 1 - std::min(1.0, share / kAmpleCpuShare);
+  m_delay = Milliseconds(
+      static_cast<int64_t>(missing * static_cast<double>(kSmallInstanceDelay.count())));
+}
+
+void DutyLease::LookNow() {
+  m_holder_heard.reset();
+  if (!m_stopped && m_token == 0) {
+    Later(Milliseconds(0), &DutyLease::Look);
+  }
+}
+
 void DutyLease::Stop() {
   m_stopped = true;
   m_timer.reset();
@@ -42,6 +56,10 @@
 }
 
 void DutyLease::Look() {
+  if (m_holder_heard && m_loop->Now() - *m_holder_heard < kLookInterval) {
+    Later(kLookInterval, &DutyLease::Look);
+    return;
+  }
   m_store->Get(m_key, ReadMode::kBounded, [this](Result<KvReading> reading) {
     if (m_stopped) {
       return;
@@ -65,7 +83,7 @@
     }
     m_holder_value.clear();
     const auto spread = static_cast<int64_t>(m_random->Unit() * kAcquireSpread.count());
-    Later(Milliseconds(spread), &DutyLease::Acquire);
+    Later(m_delay + Milliseconds(spread), &DutyLease::Acquire);
   });
 }
 
--- /dev/null
+++ b/src/sync/state_exchange.cc
@@ -0,0 +1,255 @@
+// Links between the instances and the holder of the layout duty.
+
+#include "azuregw/sync/state_exchange.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "azuregw/net/endpoint.h"
+#include "sync/peer_link.h"
+#include "sync/state_sides.h"
+
+namespace azuregw {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+// About a dozen streams begin in a fleet of nine instances between two reports.
+constexpr Milliseconds kLeastInterval{150};
+// The holder's work for one instance, some 0.3 ms of a small machine each time, stays within a
+// tenth of its processor time.
+constexpr Milliseconds kIntervalPerInstance{3};
+// Older load sends streams to engines that are full, so larger fleets cost the holder more.
+constexpr Milliseconds kMostInterval{600};
+// The load of the others is not used when it is older; estimates from the own load are better then.
+constexpr Milliseconds kLoadLife{1500};
+constexpr Milliseconds kReconnect{400};
+// Changes that come together leave together.
+constexpr Milliseconds kPushDelay{20};
+
+// The "IP:port" at the end of what the holder stored with its duty.
+std::optional<tcp::endpoint> HolderEndpoint(const std::string& value) {
+  const size_t space = value.rfind(' ');
+  return space == std::string::npos ? std::nullopt : ParseEndpoint(value.substr(space + 1));
+}
+
+class TcpStateExchange final : public StateExchange {
+ public:
+  TcpStateExchange(asio::io_context* io, EventLoop* loop, const GatewaySettings& settings,
+                   const StateExchangeParts& parts)
+      : m_io(io),
+        m_loop(loop),
+        m_name(settings.name),
+        m_address(settings.peer_address),
+        m_parts(parts),
+        m_state{loop, parts.fleet, parts.config, parts.lister},
+        m_acceptor(*io) {}
+
+  Result<void> Listen() { return OpenAcceptor(m_address, "peer address", &m_acceptor); }
+
+  void Start() override {
+    Accept();
+    Tick();
+  }
+
+  void Push() override {
+    if (m_holding && !m_pushing) {
+      m_pushing = true;
+      m_timer = m_loop->After(kPushDelay, [this] { Tick(); });
+    }
+  }
+
+  std::optional<int> Instances() const override {
+    if (!m_known || m_loop->Now() - m_received > kLoadLife) {
+      return std::nullopt;
+    }
+    return m_instances;
+  }
+
+ private:
+  void Accept() {
+    m_acceptor.async_accept([this](error_code error, tcp::socket socket) {
+      if (error == asio::error::operation_aborted) {
+        return;
+      }
+      if (!error) {
+        auto link = std::make_shared<PeerLink>(std::move(socket), m_loop);
+        link->SetHandler([this, key = link.get()](const SyncMessage& message) {
+          OnReporterMessage(key, message);
+        });
+        m_reporters[link] = ReporterState();
+        link->Begin();
+        Accept();
+        return;
+      }
+      m_accept_timer = m_loop->After(kReconnect, [this] { Accept(); });
+    });
+  }
+
+  void OnReporterMessage(PeerLink* key, const SyncMessage& message) {
+    const auto* const report = std::get_if<InstanceReport>(&message);
+    const auto found = m_reporters.find(key->shared_from_this());
+    if (report == nullptr || !m_holding || found == m_reporters.end()) {
+      return;
+    }
+    const bool first = found->second.stamp_us == 0;
+    m_holding->OnReport(*report, &found->second);
+    if (first) {
+      // It waits for the configuration.
+      key->Send(EncodeSync(m_holding->NewsFor(&found->second)));
+    }
+  }
+
+  void Tick() {
+    m_pushing = false;
+    m_timer = m_loop->After(ReportInterval(m_instances), [this] { Tick(); });
+    for (auto link = m_reporters.begin(); link != m_reporters.end();) {
+      if (link->first->Silent()) {
+        link->first->Close();
+      }
+      link = link->first->Closed() ? m_reporters.erase(link) : std::next(link);
+    }
+    SetHolding(m_parts.duty->Held());
+    if (m_holding) {
+      Answer();
+    } else {
+      Report();
+    }
+  }
+
+  void SetHolding(bool holding) {
+    if (holding == m_holding.has_value()) {
+      return;
+    }
+    m_parts.config->SetRelaying(holding);
+    m_parts.lister->SetRelaying(holding);
+    DropHolder();
+    if (holding) {
+      m_holding.emplace(m_state, m_name);
+      return;
+    }
+    m_holding.reset();
+    for (const auto& [link, state] : m_reporters) {
+      link->Close();
+    }
+    m_reporters.clear();
+  }
+
+  void Answer() {
+    if (!m_holding->TakeList()) {
+      m_parts.duty->StepDown("the numbers of upstreams are used up");
+      return;
+    }
+    const HolderTotals totals = m_holding->Totals();
+    const SharedFrame frame = EncodeSync(totals);
+    for (auto& [link, state] : m_reporters) {
+      if (state.stamp_us != 0) {
+        link->Send(EncodeSync(m_holding->NewsFor(&state)));
+        link->Send(frame);
+      }
+    }
+    OnTotals(totals.instances, m_name);
+  }
+
+  void Report() {
+    const std::optional<tcp::endpoint> holder = HolderEndpoint(m_parts.duty->HolderValue());
+    if (!holder || *holder == m_address) {
+      DropHolder();
+      return;
+    }
+    if (m_holder != nullptr &&
+        (m_holder->Closed() || m_holder->Silent() || *holder != m_holder_endpoint)) {
+      DropHolder();
+      m_parts.duty->LookNow();
+    }
+    const TimePoint now = m_loop->Now();
+    if (m_holder == nullptr) {
+      if (now < m_next_connect) {
+        return;
+      }
+      m_next_connect = now + kReconnect;
+      m_holder_endpoint = *holder;
+      m_reporting.emplace(m_state, m_name);
+      m_holder = std::make_shared<PeerLink>(tcp::socket(*m_io), m_loop);
+      m_holder->SetHandler([this](const SyncMessage& message) { OnHolderMessage(message); });
+      m_holder->Connect(*holder);
+    }
+    if (m_holder->Open()) {
+      m_holder->Send(EncodeSync(m_reporting->NextReport()));
+    }
+  }
+
+  void OnHolderMessage(const SyncMessage& message) {
+    if (!m_reporting) {
+      return;
+    }
+    m_parts.duty->OnHolderHeard();
+    if (const auto* const news = std::get_if<HolderNews>(&message)) {
+      m_reporting->OnNews(*news);
+    } else if (const auto* const totals = std::get_if<HolderTotals>(&message)) {
+      m_reporting->OnTotals(*totals);
+      OnTotals(totals->instances, m_reporting->Holder());
+    }
+  }
+
+  void DropHolder() {
+    if (m_holder != nullptr) {
+      m_holder->Close();
+      m_holder.reset();
+    }
+    m_reporting.reset();
+  }
+
+  void OnTotals(int instances, const std::string& holder) {
+    if (!m_known || instances != m_instances) {
+      m_parts.log->Write("load_shared", {{"instances", instances}, {"holder", holder}}, false);
+    }
+    m_known = true;
+    m_received = m_loop->Now();
+    m_instances = instances;
+  }
+
+  asio::io_context* const m_io;
+  EventLoop* const m_loop;
+  const std::string m_name;
+  const tcp::endpoint m_address;
+  const StateExchangeParts m_parts;
+  const SharedState m_state;
+  tcp::acceptor m_acceptor;
+  std::map<std::shared_ptr<PeerLink>, ReporterState> m_reporters;  // Instances that report here.
+  std::optional<HolderSide> m_holding;                             // Set while the duty is held.
+  std::shared_ptr<PeerLink> m_holder;                              // To the holder of the duty.
+  std::optional<ReporterSide> m_reporting;                         // Set with m_holder.
+  tcp::endpoint m_holder_endpoint;
+  TimePoint m_next_connect;
+  bool m_known = false;
+  bool m_pushing = false;
+  TimePoint m_received;
+  int m_instances = 0;
+  std::unique_ptr<Timer> m_timer;
+  std::unique_ptr<Timer> m_accept_timer;
+};
+
+}  // namespace
+
+Milliseconds ReportInterval(int instances) {
+  return std::clamp(instances * kIntervalPerInstance, kLeastInterval, kMostInterval);
+}
+
+Result<std::unique_ptr<StateExchange>> MakeStateExchange(asio::io_context* io, EventLoop* loop,
+                                                         const GatewaySettings& settings,
+                                                         const StateExchangeParts& parts) {
+  auto exchange = std::make_unique<TcpStateExchange>(io, loop, settings, parts);
+  const Result<void> listening = exchange->Listen();
+  if (!listening) {
+    return listening.error();
+  }
+  return std::unique_ptr<StateExchange>(std::move(exchange));
+}
+
+}  // namespace azuregw
--- /dev/null
+++ b/src/sync/state_sides.cc
@@ -0,0 +1,108 @@
+// Reports, news and totals.
+
+#include "sync/state_sides.h"
+
+#include <optional>
+
+namespace azuregw {
+namespace {
+
+int64_t ToMicroseconds(std::chrono::steady_clock::duration time) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(time).count();
+}
+
+}  // namespace
+
+void HolderSide::OnReport(const InstanceReport& report, ReporterState* reporter) {
+  const TimePoint now = m_state.loop->Now();
+  if (reporter->number == 0) {
+    const auto next = static_cast<InstanceNumber>(m_instances.size() + 1);
+    reporter->number = m_instances.emplace(report.instance, next).first->second;
+  }
+  reporter->stamp_us = report.stamp_us;
+  reporter->stamp_arrived = now;
+  m_ledger.Add(reporter->number, report.load, now);
+}
+
+bool HolderSide::TakeList() {
+  return !m_state.lister->Confirmed() || m_history.Update(*m_state.fleet);
+}
+
+HolderNews HolderSide::NewsFor(ReporterState* reporter) {
+  HolderNews news;
+  news.holder = m_name;
+  news.reporter = reporter->number;
+  news.echo_us = reporter->stamp_us;
+  if (const auto config = m_state.config->Confirmed()) {
+    news.config =
+        RelayedConfig{config->version, "", ToMicroseconds(reporter->stamp_arrived - config->when)};
+    if (reporter->sent_config != config->version) {
+      reporter->sent_config = config->version;
+      news.config->document = *config->document;
+    }
+  }
+  if (const auto listed = m_state.lister->Confirmed(); listed && m_history.Version() > 0) {
+    news.list_age_us = ToMicroseconds(reporter->stamp_arrived - *listed);
+    if (reporter->sent_list != m_history.Version()) {
+      news.list = m_history.Since(reporter->sent_list);
+      reporter->sent_list = m_history.Version();
+    }
+  }
+  return news;
+}
+
+HolderTotals HolderSide::Totals() {
+  const TimePoint now = m_state.loop->Now();
+  LoadReport own = OwnLoad(*m_state.fleet, m_history.Numbers(), kOwnNumber, now);
+  m_ledger.Add(kOwnNumber, own, now);
+  HolderTotals totals;
+  totals.load = m_ledger.Totals(now);
+  totals.instances = m_ledger.Instances();
+  ApplyTotals(totals.load, own, kOwnNumber, m_history.Numbers(), m_state.fleet, now);
+  return totals;
+}
+
+InstanceReport ReporterSide::NextReport() {
+  const TimePoint now = m_state.loop->Now();
+  InstanceReport report;
+  report.instance = m_name;
+  report.stamp_us = ToMicroseconds(now.time_since_epoch());
+  report.load = OwnLoad(*m_state.fleet, m_list.Numbers(), m_number, now);
+  m_sent.push_back({report.stamp_us, report.load});
+  if (m_sent.size() > kMaxAwaited) {
+    m_sent.pop_front();
+    m_front_returned = false;
+  }
+  return report;
+}
+
+void ReporterSide::OnNews(const HolderNews& news) {
+  m_holder = news.holder;
+  m_number = news.reporter;
+  if (news.echo_us == 0) {
+    return;
+  }
+  while (m_sent.size() > 1 && m_sent[1].stamp_us <= news.echo_us) {
+    m_sent.pop_front();
+  }
+  m_front_returned = !m_sent.empty() && m_sent.front().stamp_us == news.echo_us;
+  const auto counted_back = [&news](int64_t age_us) {
+    return TimePoint(std::chrono::microseconds(news.echo_us - age_us));
+  };
+  if (news.config) {
+    m_state.config->OnRelayed(news.config->version, news.config->document,
+                              counted_back(news.config->age_us));
+  }
+  if (news.list_age_us) {
+    const bool changed = m_list.Apply(news.list);
+    m_state.lister->OnRelayed(m_list, changed, counted_back(*news.list_age_us));
+  }
+}
+
+void ReporterSide::OnTotals(const HolderTotals& totals) {
+  const LoadReport none;
+  ApplyTotals(totals.load, m_front_returned ? m_sent.front().load : none, m_number,
+              m_list.Numbers(), m_state.fleet, m_state.loop->Now());
+}
+
+}  // namespace azuregw
--- /dev/null
+++ b/src/sync/sync_frames.cc
@@ -0,0 +1,183 @@
+// FlatBuffers encoding of shared state.
+
+#include "sync/sync_frames.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "azuregw/peer/frame_decoder.h"
+#include "schemas/generated/fleet_sync_generated.h"
+
+namespace azuregw {
+namespace {
+
+// Any report or total: the three lists have the same names in both tables.
+template <typename Table>
+void PackLoad(const LoadReport& load, Table* table) {
+  for (const LoadShare& share : load.loads) {
+    table->loads.emplace_back(share.upstream,
+                              static_cast<uint16_t>(std::min(share.load.requests, UINT16_MAX)),
+                              static_cast<float>(share.load.token_layers));
+  }
+  for (const SuspectReport& suspect : load.suspects) {
+    table->suspects.emplace_back(suspect.upstream, suspect.reporter,
+                                 static_cast<uint32_t>(suspect.remaining.count()), suspect.stopped);
+  }
+  for (const PaceReport& pace : load.paces) {
+    table->paces.emplace_back(pace.upstream, pace.reporter,
+                              static_cast<uint32_t>(pace.remaining.count()),
+                              static_cast<float>(pace.pace));
+  }
+}
+
+template <typename Table>
+LoadReport UnpackLoad(const Table& table) {
+  LoadReport load;
+  for (const wire::LoadEntry& entry : table.loads) {
+    load.loads.push_back({entry.number(), {entry.token_layers(), entry.requests()}});
+  }
+  for (const wire::SuspectEntry& entry : table.suspects) {
+    load.suspects.push_back(
+        {entry.number(), entry.reporter(), Milliseconds(entry.remaining_ms()), entry.stopped()});
+  }
+  for (const wire::PaceEntry& entry : table.paces) {
+    load.paces.push_back(
+        {entry.number(), entry.reporter(), Milliseconds(entry.remaining_ms()), entry.pace()});
+  }
+  return load;
+}
+
+std::unique_ptr<wire::UpstreamEntryT> PackUpstream(const NumberedUpstream& upstream) {
+  const UpstreamRecord& record = upstream.record;
+  auto entry = std::make_unique<wire::UpstreamEntryT>();
+  entry->number = upstream.number;
+  entry->id = record.id;
+  entry->service = record.service;
+  entry->address = record.address;
+  entry->failure_domain = record.failure_domain;
+  entry->slots = record.slots;
+  entry->draining = record.draining;
+  entry->warmup_left_ms = record.warmup_left_ms;
+  entry->started_ms = record.started_ms;
+  entry->order_sequence = record.order_sequence;
+  entry->accelerator = record.accelerator;
+  if (record.layers) {
+    entry->first_layer = record.layers->first;
+    entry->last_layer = record.layers->last;
+  }
+  return entry;
+}
+
+NumberedUpstream UnpackUpstream(const wire::UpstreamEntryT& entry) {
+  NumberedUpstream upstream;
+  upstream.number = entry.number;
+  UpstreamRecord& record = upstream.record;
+  record.id = entry.id;
+  record.service = entry.service;
+  record.address = entry.address;
+  record.failure_domain = entry.failure_domain;
+  record.slots = entry.slots;
+  record.draining = entry.draining;
+  record.warmup_left_ms = entry.warmup_left_ms;
+  record.started_ms = entry.started_ms;
+  record.order_sequence = entry.order_sequence;
+  record.accelerator = entry.accelerator;
+  if (entry.last_layer > entry.first_layer) {
+    record.layers = LayerRange{entry.first_layer, entry.last_layer};
+  }
+  return upstream;
+}
+
+wire::SyncBodyUnion Pack(const InstanceReport& report) {
+  wire::InstanceReportT table;
+  table.instance = report.instance;
+  table.stamp_us = report.stamp_us;
+  PackLoad(report.load, &table);
+  wire::SyncBodyUnion body;
+  body.Set(std::move(table));
+  return body;
+}
+
+wire::SyncBodyUnion Pack(const HolderNews& news) {
+  wire::HolderNewsT table;
+  table.holder = news.holder;
+  table.reporter = news.reporter;
+  table.echo_us = news.echo_us;
+  if (news.config) {
+    table.config_known = true;
+    table.config_version = news.config->version;
+    table.config_age_us = news.config->age_us;
+    table.config = news.config->document;
+  }
+  if (news.list_age_us) {
+    table.list_known = true;
+    table.list_age_us = *news.list_age_us;
+    table.list_whole = news.list.whole;
+    for (const NumberedUpstream& upstream : news.list.changed) {
+      table.list_changed.push_back(PackUpstream(upstream));
+    }
+    table.list_removed = news.list.removed;
+  }
+  wire::SyncBodyUnion body;
+  body.Set(std::move(table));
+  return body;
+}
+
+wire::SyncBodyUnion Pack(const HolderTotals& totals) {
+  wire::HolderTotalsT table;
+  table.instances = static_cast<uint32_t>(totals.instances);
+  PackLoad(totals.load, &table);
+  wire::SyncBodyUnion body;
+  body.Set(std::move(table));
+  return body;
+}
+
+HolderNews UnpackNews(const wire::HolderNewsT& table) {
+  HolderNews news;
+  news.holder = table.holder;
+  news.reporter = table.reporter;
+  news.echo_us = table.echo_us;
+  if (table.config_known) {
+    news.config = RelayedConfig{table.config_version, table.config, table.config_age_us};
+  }
+  if (table.list_known) {
+    news.list_age_us = table.list_age_us;
+    news.list.whole = table.list_whole;
+    for (const auto& entry : table.list_changed) {
+      news.list.changed.push_back(UnpackUpstream(*entry));
+    }
+    news.list.removed = table.list_removed;
+  }
+  return news;
+}
+
+}  // namespace
+
+SharedFrame EncodeSync(const SyncMessage& message) {
+  wire::SyncFrameT frame;
+  frame.body = std::visit([](const auto& content) { return Pack(content); }, message);
+  flatbuffers::FlatBufferBuilder builder;
+  wire::FinishSyncFrameBuffer(builder, wire::SyncFrame::Pack(builder, &frame));
+  return std::make_shared<const std::vector<uint8_t>>(
+      EncodeFrame({builder.GetBufferPointer(), builder.GetSize()}));
+}
+
+std::optional<SyncMessage> DecodeSync(gsl::span<const uint8_t> payload) {
+  flatbuffers::Verifier verifier(payload.data(), payload.size());
+  if (!wire::VerifySyncFrameBuffer(verifier)) {
+    return std::nullopt;
+  }
+  const std::unique_ptr<wire::SyncFrameT> frame(wire::GetSyncFrame(payload.data())->UnPack());
+  if (const wire::InstanceReportT* const table = frame->body.AsInstanceReport()) {
+    return InstanceReport{table->instance, table->stamp_us, UnpackLoad(*table)};
+  }
+  if (const wire::HolderNewsT* const table = frame->body.AsHolderNews()) {
+    return UnpackNews(*table);
+  }
+  if (const wire::HolderTotalsT* const table = frame->body.AsHolderTotals()) {
+    return HolderTotals{static_cast<int>(table->instances), UnpackLoad(*table)};
+  }
+  return std::nullopt;
+}
+
+}  // namespace azuregw
--- a/src/sync/upstream_lister.cc
+++ b/src/sync/upstream_lister.cc
@@ -36,6 +36,27 @@
   return std::chrono::duration_cast<Milliseconds>(m_loop->Now() - *m_listed);
 }
 
+void UpstreamLister::OnRelayed(const RelayedUpstreams& list, bool changed, TimePoint confirmed) {
+  m_relay_pending |= changed;
+  if (m_listed && confirmed <= *m_listed) {
+    return;  // The store's own answer is newer.
+  }
+  m_listed = confirmed;
+  m_relayed = confirmed;
+  if (m_relay_pending || m_fleet->KeepsMissing()) {
+    m_relay_pending = false;
+    Adopt(list.Records(), false, "instance");
+  }
+}
+
+void UpstreamLister::Next() {
+  if (!m_relaying && m_relayed && m_loop->Now() - *m_relayed < kRelayTrust) {
+    m_timer = m_loop->After(kRelayCheck, [this] { Next(); });
+    return;
+  }
+  Read();
+}
+
 void UpstreamLister::Read() {
   const TimePoint sent = m_loop->Now();
   m_store->List(m_codec->UpstreamPrefix(), ReadMode::kNewest,
@@ -47,7 +68,8 @@
                     m_log->Write("store_lost",
                                  {{"for", "upstreams"}, {"reason", listing.error().message}}, true);
                   }
-                  m_timer = m_loop->After(listing ? kInterval : kAfterFailure, [this] { Read(); });
+                  const Milliseconds interval = m_relaying ? kRelayingInterval : kInterval;
+                  m_timer = m_loop->After(listing ? interval : kAfterFailure, [this] { Next(); });
                 });
 }
 
@@ -63,20 +85,29 @@
                    false);
     }
   }
-  const TimePoint now = m_loop->Now();
-  const bool after_outage = m_listed && now - *m_listed > kOutage;
+  const bool after_outage = m_listed && m_loop->Now() - *m_listed > kOutage;
   if (m_failing) {
     m_failing = false;
     m_log->Write("store_regained", {{"for", "upstreams"}, {"after_outage", after_outage}}, true);
   }
+  if (m_listed && sent <= *m_listed) {
+    return;  // A list through another instance is newer.
+  }
   m_listed = sent;
-  const std::vector<FleetChange> changes = m_fleet->Update(std::move(records), after_outage, now);
+  m_relay_pending = true;
+  Adopt(std::move(records), after_outage, "store");
+}
+
+void UpstreamLister::Adopt(std::vector<UpstreamRecord> records, bool after_outage,
+                           std::string_view source) {
+  const std::vector<FleetChange> changes =
+      m_fleet->Update(std::move(records), after_outage, m_loop->Now());
   for (const FleetChange& change : changes) {
     m_log->Write("upstream",
                  {{"upstream", change.id},
                   {"change", ChangeName(change.kind)},
                   {"detail", change.detail},
-                  {"store_revision", listing.store_revision}},
+                  {"source", source}},
                  true);
   }
   if (!changes.empty() && m_listener) {
--- a/tests/fleet/fleet_test.cc
+++ b/tests/fleet/fleet_test.cc
@@ -105,43 +105,65 @@
 }
 
 // Guards against an instance that counts its own load twice, or keeps that of a dead one.
-BOOST_AUTO_TEST_CASE(others_are_summed_without_the_asker_and_the_dead) {
+BOOST_AUTO_TEST_CASE(totals_are_taken_over_without_the_own_part_and_the_dead) {
+  Fleet fleet;
+  fleet.Update({Plain("s1", "a")}, false, kNow);
+  UpstreamNumbers numbers;
+  numbers.Learn(5, "s1");
   LoadLedger ledger;
-  for (const char* name : {"i1", "i2", "i3"}) {
-    LoadReport report;
-    report.instance = name;
-    report.loads["e"] = {10, 1};
-    ledger.Add(report, kNow);
+  LoadReport report;
+  report.loads = {{5, {10, 1}}};
+  for (const InstanceNumber instance : {1, 2, 3}) {
+    ledger.Add(instance, report, kNow);
   }
-  LoadReport others = ledger.OthersOf("i1", kNow);
-  BOOST_TEST(others.instances == 3);
-  BOOST_TEST(others.loads["e"].token_layers == 20);
-  BOOST_TEST(others.loads["e"].requests == 2);
+  ApplyTotals(ledger.Totals(kNow), report, 1, numbers, &fleet, kNow);
+  BOOST_TEST(ledger.Instances() == 3);
+  BOOST_TEST(fleet.Find("s1")->others.token_layers == 20);
+  BOOST_TEST(fleet.Find("s1")->others.requests == 2);
   const TimePoint later = kNow + LoadLedger::kReportLife;
-  LoadReport fresh;
-  fresh.instance = "i2";
-  fresh.loads["e"] = {7, 1};
-  ledger.Add(fresh, later);
-  others = ledger.OthersOf("i1", later + Milliseconds(1));
-  BOOST_TEST(others.instances == 2);
-  BOOST_TEST(others.loads["e"].token_layers == 7);
+  ledger.Add(2, {{{5, {7, 1}}}, {}, {}}, later);
+  ApplyTotals(ledger.Totals(later + Milliseconds(1)), {}, 1, numbers, &fleet, later);
+  BOOST_TEST(ledger.Instances() == 1);
+  BOOST_TEST(fleet.Find("s1")->others.token_layers == 7);
 }
 
 // Guards against a suspicion that travels in circles and never ends.
-BOOST_AUTO_TEST_CASE(suspicion_of_others_is_not_passed_on) {
+BOOST_AUTO_TEST_CASE(suspicion_is_passed_on_once_and_not_back) {
   Fleet first;
   Fleet second;
   first.Update({Plain("s1", "a")}, false, kNow);
   second.Update({Plain("s1", "a")}, false, kNow);
+  UpstreamNumbers numbers;
+  numbers.Learn(5, "s1");
   first.MarkStopped("s1", Milliseconds(1000), kNow);
-  const LoadReport report = OwnLoad(first, "i1", kNow + Milliseconds(400));
+  LoadLedger ledger;
+  const LoadReport report = OwnLoad(first, numbers, 1, kNow + Milliseconds(400));
   BOOST_REQUIRE(report.suspects.size() == 1U);
   BOOST_TEST(report.suspects[0].stopped);
   BOOST_TEST((report.suspects[0].remaining == Milliseconds(600)));
-  ApplyOthers(report, &second, kNow + Milliseconds(400));
+  ledger.Add(1, report, kNow + Milliseconds(400));
+  // It is as old at the holder as it is there.
+  const TimePoint later = kNow + Milliseconds(500);
+  const LoadReport totals = ledger.Totals(later);
+  ApplyTotals(totals, {}, 2, numbers, &second, later);
   BOOST_TEST(!second.Find("s1")->Usable(kNow + Milliseconds(900)));
   BOOST_TEST(second.Find("s1")->Usable(kNow + Milliseconds(1001)));
-  BOOST_TEST(OwnLoad(second, "i2", kNow + Milliseconds(500)).suspects.empty());
+  BOOST_TEST(OwnLoad(second, numbers, 2, later).suspects.empty());
+  // The finder is not told its own finding again, however late the totals come.
+  ApplyTotals(totals, report, 1, numbers, &first, kNow + Milliseconds(900));
+  BOOST_TEST(first.Find("s1")->Usable(kNow + Milliseconds(1001)));
+}
+
+// Guards against an engine that one instance found stopped and another one merely suspects.
+BOOST_AUTO_TEST_CASE(stopped_outlasts_a_longer_suspicion) {
+  LoadLedger ledger;
+  ledger.Add(1, {{}, {{5, 1, Milliseconds(900), false}}, {}}, kNow);
+  ledger.Add(2, {{}, {{5, 2, Milliseconds(500), true}}, {}}, kNow);
+  ledger.Add(3, {{}, {{5, 3, Milliseconds(300), false}}, {}}, kNow);
+  const LoadReport totals = ledger.Totals(kNow);
+  BOOST_REQUIRE(totals.suspects.size() == 2U);
+  BOOST_TEST(totals.suspects[0].reporter == 1);
+  BOOST_TEST(totals.suspects[1].stopped);
 }
 
 // Guards against reservations that outlive their engine and close it for ever.
--- a/tests/sync/config_watcher_test.cc
+++ b/tests/sync/config_watcher_test.cc
@@ -7,38 +7,14 @@
 #include <string>
 
 #include "azuregw/sync/upstream_lister.h"
-#include "tests/support/engine_fixture.h"
 #include "tests/support/fake_async_store.h"
 #include "tests/support/fake_log.h"
 #include "tests/support/fake_loop.h"
+#include "tests/support/text_codec.h"
 
 namespace azuregw {
 namespace {
 
-// Values are plain: a version for the configuration, "draining" or "ready" for an upstream.
-class TextCodec final : public PlatformCodec {
- public:
-  std::string ConfigKey() const override { return "config"; }
-  std::string UpstreamPrefix() const override { return "up/"; }
-  Result<RoutingConfig> DecodeConfig(std::string_view value) const override {
-    if (value.find_first_not_of("0123456789") != std::string_view::npos) {
-      return NotRun(ResultCode::kPresetInvalid, "version: expected a whole number");
-    }
-    RoutingConfig config;
-    config.version = std::stoull(std::string(value));
-    return config;
-  }
-  Result<UpstreamRecord> DecodeUpstream(std::string_view key,
-                                        std::string_view value) const override {
-    if (value != "ready" && value != "draining") {
-      return NotRun(ResultCode::kInvalidField, "state");
-    }
-    UpstreamRecord record = EngineRecordOf(std::string(key.substr(3)), "a", "", std::nullopt);
-    record.draining = value == "draining";
-    return record;
-  }
-};
-
 struct Fixture {
   FakeLoop loop;
   FakeAsyncStore store{&loop};
