Judge silent engines by the streams of all instances; keep the shared repeat budget

Change: reports carry how long ago each engine took part in an event; engines that worked elsewhere are not blamed, and at most two are blamed at once. The number of instances that share the repeat budget falls only after a whole window; before it is known it counts as 100.

Ruled out: a loss of capacity by the faults themselves (9 of 86 engines).

--- a/include/azuregw/admission/repeat_budget.h
+++ b/include/azuregw/admission/repeat_budget.h
@@ -23,8 +23,10 @@
  public:
   explicit RepeatBudget(const RepeatBounds& bounds) : m_bounds(bounds) {}
 
-  // How many instances share the budget.
-  void SetInstances(int instances) { m_instances = instances < 1 ? 1 : instances; }
+  // How many instances share the budget, as now known. A smaller number counts only after it held
+  // for a whole window: a new holder of the duty hears of the instances one by one, and those that
+  // are out of touch go on repeating.
+  void SetInstances(int instances, TimePoint now);
   void OnRequest(const std::string& service, TimePoint now);
   // Whether one more send of a request fits; takes it when it does.
   bool Take(const std::string& service, TimePoint now);
@@ -32,8 +34,9 @@
  private:
   // Instances are uneven, and the window slides, so a part is kept back.
   static constexpr double kUsableShare = 0.7;
-  // Instances that share the budget before their number is known.
-  static constexpr int kAssumedInstances = 10;
+  // Instances that share the budget before their number is known. High, so that instances that
+  // start together, or alone in a large fleet, do not take more than their part.
+  static constexpr int kAssumedInstances = 100;
 
   struct Counts {
     std::deque<TimePoint> requests;
@@ -44,6 +47,9 @@
 
   const RepeatBounds m_bounds;
   int m_instances = kAssumedInstances;
+  // Largest number reported since all reports have been below m_instances, and since when.
+  int m_fewer = 0;
+  TimePoint m_fewer_since;
   std::map<std::string, Counts> m_services;
 };
 
--- a/include/azuregw/fleet/fleet.h
+++ b/include/azuregw/fleet/fleet.h
@@ -54,7 +54,8 @@
   UpstreamRecord record;
   UpstreamLoad own;
   UpstreamLoad others;          // Reported by the other instances.
-  TimePoint last_progress;      // Last bytes of an answer in which it took part.
+  TimePoint own_progress;       // Last bytes of an answer here in which it took part.
+  TimePoint last_progress;      // The same at any instance, as far as reported.
   TimePoint suspect_until;      // Gets no new work before this.
   TimePoint own_suspect_until;  // The same, by what this instance found itself.
   TimePoint stopped_until;      // Some instance found that it does not answer at all.
@@ -107,6 +108,8 @@
   void Release(const std::string& id, double token_layers);
   void SetOthers(const std::unordered_map<std::string, UpstreamLoad>& loads);
   void OnProgress(const std::string& id, TimePoint now);
+  // The same at another instance.
+  void ProgressByReport(const std::string& id, TimePoint when);
   // The engine told its pace to this instance, or to another one.
   void OnPace(const std::string& id, double pace, TimePoint now);
   void PaceByReport(const std::string& id, double pace, Milliseconds remaining, TimePoint now);
--- a/include/azuregw/fleet/load_ledger.h
+++ b/include/azuregw/fleet/load_ledger.h
@@ -9,6 +9,7 @@
 #define AZUREGW_FLEET_LOAD_LEDGER_H_
 
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -24,6 +25,8 @@
 struct LoadShare {
   UpstreamNumber upstream = 0;
   UpstreamLoad load;
+  // Since it last took part in an event of an answer; nullopt when that is unknown.
+  std::optional<Milliseconds> idle;
 };
 
 struct SuspectReport {
@@ -53,7 +56,8 @@
 
   // Replaces the report of `instance`.
   void Add(InstanceNumber instance, LoadReport report, TimePoint now);
-  // The sum over all instances, with the longest suspicion and pace of each upstream.
+  // The sum over all instances, with the longest suspicion and pace and the least idle time of each
+  // upstream.
   LoadReport Totals(TimePoint now);
   // Instances whose report is in the last totals.
   int Instances() const { return static_cast<int>(m_reports.size()); }
--- a/src/admission/repeat_budget.cc
+++ b/src/admission/repeat_budget.cc
@@ -2,6 +2,8 @@
 
 #include "azuregw/admission/repeat_budget.h"
 
+#include <algorithm>
+
 namespace azuregw {
 
 void RepeatBudget::Expire(Counts* counts, TimePoint now) const {
@@ -12,6 +14,23 @@
   }
 }
 
+void RepeatBudget::SetInstances(int instances, TimePoint now) {
+  instances = std::max(1, instances);
+  if (instances >= m_instances) {
+    m_instances = instances;
+    m_fewer = 0;
+    return;
+  }
+  if (m_fewer == 0) {
+    m_fewer_since = now;
+  }
+  m_fewer = std::max(m_fewer, instances);
+  if (now - m_fewer_since > m_bounds.window) {
+    m_instances = m_fewer;
+    m_fewer = 0;
+  }
+}
+
 void RepeatBudget::OnRequest(const std::string& service, TimePoint now) {
   Counts& counts = m_services[service];
   counts.requests.push_back(now);
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -128,11 +128,18 @@
 
 void Fleet::OnProgress(const std::string& id, TimePoint now) {
   if (Upstream* const upstream = Find(id)) {
+    upstream->own_progress = now;
     upstream->last_progress = now;
     upstream->failures = 0;
   }
 }
 
+void Fleet::ProgressByReport(const std::string& id, TimePoint when) {
+  if (Upstream* const upstream = Find(id)) {
+    upstream->last_progress = std::max(upstream->last_progress, when);
+  }
+}
+
 void Fleet::OnPace(const std::string& id, double pace, TimePoint now) {
   if (Upstream* const upstream = Find(id)) {
     upstream->slowdown = std::max(1.0, pace);
--- a/src/fleet/load_ledger.cc
+++ b/src/fleet/load_ledger.cc
@@ -3,12 +3,16 @@
 #include "azuregw/fleet/load_ledger.h"
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
 namespace azuregw {
 namespace {
 
+// Longer times without progress are not told apart.
+constexpr Milliseconds kIdleOfInterest{5000};
+
 Milliseconds Remaining(TimePoint until, TimePoint now) {
   return std::chrono::duration_cast<Milliseconds>(until - now);
 }
@@ -33,7 +37,7 @@
 }
 
 LoadReport LoadLedger::Totals(TimePoint now) {
-  std::map<UpstreamNumber, UpstreamLoad> loads;
+  std::map<UpstreamNumber, LoadShare> loads;
   std::map<std::pair<UpstreamNumber, bool>, SuspectReport> suspects;
   std::map<UpstreamNumber, PaceReport> paces;
   for (auto entry = m_reports.begin(); entry != m_reports.end();) {
@@ -44,9 +48,12 @@
     }
     const LoadReport& report = entry->second.report;
     for (const LoadShare& share : report.loads) {
-      UpstreamLoad& total = loads[share.upstream];
-      total.token_layers += share.load.token_layers;
-      total.requests += share.load.requests;
+      LoadShare& total = loads[share.upstream];
+      total.load.token_layers += share.load.token_layers;
+      total.load.requests += share.load.requests;
+      if (share.idle && (!total.idle || *share.idle + age < *total.idle)) {
+        total.idle = *share.idle + age;
+      }
     }
     for (const SuspectReport& suspect : report.suspects) {
       KeepLongest(&suspects, std::make_pair(suspect.upstream, suspect.stopped), suspect, age);
@@ -57,8 +64,8 @@
     ++entry;
   }
   LoadReport totals;
-  for (const auto& [upstream, load] : loads) {
-    totals.loads.push_back({upstream, load});
+  for (const auto& [upstream, share] : loads) {
+    totals.loads.push_back({upstream, share.load, share.idle});
   }
   for (const auto& [key, suspect] : suspects) {
     totals.suspects.push_back(suspect);
@@ -75,15 +82,18 @@
   for (const auto& [id, upstream] : fleet.All()) {
     const bool suspect = upstream.own_suspect_until > now;
     const bool pace = upstream.pace_asked_here && upstream.slowdown_until > now;
-    if (upstream.own.requests == 0 && !suspect && !pace) {
+    const auto idle = std::chrono::duration_cast<Milliseconds>(now - upstream.own_progress);
+    const bool active = upstream.own.requests > 0 || idle < kIdleOfInterest;
+    if (!active && !suspect && !pace) {
       continue;
     }
     const std::optional<UpstreamNumber> number = numbers.NumberOf(id);
     if (!number) {
       continue;
     }
-    if (upstream.own.requests > 0) {
-      report.loads.push_back({*number, upstream.own});
+    if (active) {
+      report.loads.push_back(
+          {*number, upstream.own, idle < kIdleOfInterest ? std::optional(idle) : std::nullopt});
     }
     if (suspect) {
       report.suspects.push_back({*number, reporter, Remaining(upstream.own_suspect_until, now),
@@ -103,6 +113,9 @@
   for (const LoadShare& share : totals.loads) {
     if (const std::string* const id = numbers.IdOf(share.upstream)) {
       others[*id] = share.load;
+      if (share.idle) {
+        fleet->ProgressByReport(*id, now - *share.idle);
+      }
     }
   }
   for (const LoadShare& share : own.loads) {
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -210,9 +210,9 @@
     m_queue_timer = m_loop->After(kQueueTick, [this] {
       const std::optional<int> instances = m_exchange->Instances();
       m_context.assumed_instances = instances ? 0 : m_last_instances;
-      if (instances && *instances != m_last_instances) {
+      if (instances) {
         m_last_instances = *instances;
-        m_budget.SetInstances(m_last_instances);
+        m_budget.SetInstances(m_last_instances, m_loop->Now());
       }
       if (m_queue.Size() > 0) {
         m_queue.StartSome(m_loop->Now());
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -28,8 +28,9 @@
 constexpr Milliseconds kBrokenFor{1500};
 // The same for one that another engine or its own answer named.
 constexpr Milliseconds kNamedFor{1000};
-// An engine whose streams made progress this lately works, whatever it refuses.
-constexpr Milliseconds kWorkedLately{300};
+// An engine whose streams made progress this lately works, whatever it refuses. News of the others'
+// streams are up to two report intervals old.
+constexpr Milliseconds kWorkedLately{600};
 // A full engine has memory again as soon as one of its streams ends, some 20 times a second.
 constexpr Milliseconds kFullFor{200};
 // A stream is not moved when less time is left.
--- a/src/forward/stream_moves.cc
+++ b/src/forward/stream_moves.cc
@@ -16,6 +16,12 @@
 constexpr Milliseconds kExamineInterval{200};
 // Silence after which the stream moves to another path even if no engine could be found at fault.
 constexpr Milliseconds kUnexplainedSilence{1300};
+// An engine that worked this long after the last event is not the one that stopped: one event may
+// still have been on its way.
+constexpr Milliseconds kProgressSlack{100};
+// When more engines of a path may be the silent one, only this stream avoids them: blaming all took
+// working engines from the whole fleet, which overloaded the rest.
+constexpr size_t kMaxBlamed = 2;
 // How long an engine that was silent while others made progress gets no new streams.
 constexpr Milliseconds kSilentFor{1500};
 // Changes of one request's path; each is an order that costs about a twentieth of an answer.
@@ -167,7 +173,7 @@
   std::set<std::string> silent;
   for (const PathHop& hop : m_path.hops) {
     const Upstream* const upstream = m_context->fleet->Find(hop.id);
-    if (upstream == nullptr || upstream->last_progress <= m_last_bytes) {
+    if (upstream == nullptr || upstream->last_progress <= m_last_bytes + kProgressSlack) {
       silent.insert(hop.id);
     }
   }
@@ -178,7 +184,9 @@
   EndAttempt();
   LogAttempt("silent", reason);
   for (const std::string& id : engines) {
-    SuspectEngine(id, kSilentFor, reason);
+    if (engines.size() <= kMaxBlamed) {
+      SuspectEngine(id, kSilentFor, reason);
+    }
     m_excluded.insert(id);
   }
   Again(reason, true);
--- a/src/sync/sync_frames.cc
+++ b/src/sync/sync_frames.cc
@@ -11,13 +11,17 @@
 namespace azuregw {
 namespace {
 
+constexpr uint16_t kUnknownIdleMs = UINT16_MAX;
+
 // Any report or total: the three lists have the same names in both tables.
 template <typename Table>
 void PackLoad(const LoadReport& load, Table* table) {
   for (const LoadShare& share : load.loads) {
-    table->loads.emplace_back(share.upstream,
-                              static_cast<uint16_t>(std::min(share.load.requests, UINT16_MAX)),
-                              static_cast<float>(share.load.token_layers));
+    const auto idle = share.idle ? std::min<int64_t>(share.idle->count(), kUnknownIdleMs)
+                                 : int64_t{kUnknownIdleMs};
+    table->loads.emplace_back(
+        share.upstream, static_cast<uint16_t>(std::min<int>(share.load.requests, UINT16_MAX)),
+        static_cast<float>(share.load.token_layers), static_cast<uint16_t>(idle));
   }
   for (const SuspectReport& suspect : load.suspects) {
     table->suspects.emplace_back(suspect.upstream, suspect.reporter,
@@ -34,7 +38,11 @@
 LoadReport UnpackLoad(const Table& table) {
   LoadReport load;
   for (const wire::LoadEntry& entry : table.loads) {
-    load.loads.push_back({entry.number(), {entry.token_layers(), entry.requests()}});
+    std::optional<Milliseconds> idle;
+    if (entry.idle_ms() != kUnknownIdleMs) {
+      idle = Milliseconds(entry.idle_ms());
+    }
+    load.loads.push_back({entry.number(), {entry.token_layers(), entry.requests()}, idle});
   }
   for (const wire::SuspectEntry& entry : table.suspects) {
     load.suspects.push_back(
--- a/tests/admission/wait_policy_test.cc
+++ b/tests/admission/wait_policy_test.cc
@@ -120,6 +120,20 @@
   BOOST_TEST(queue.StartsPerS(kNow + Milliseconds(5000)) == 0);
 }
 
+// The number of instances has been known for more than a window.
+void Settle(RepeatBudget* budget, int instances) {
+  budget->SetInstances(instances, kNow - Milliseconds(20000));
+  budget->SetInstances(instances, kNow);
+}
+
+int TakeAll(RepeatBudget* budget, TimePoint now) {
+  int taken = 0;
+  while (budget->Take("model", now)) {
+    ++taken;
+  }
+  return taken;
+}
+
 // Load pattern: callers who repeat at once and often, on all instances. Guards against more repeats
 // than the instances may make together.
 BOOST_AUTO_TEST_CASE(repeats_of_all_instances_stay_within_the_shared_budget) {
@@ -128,7 +142,7 @@
   std::vector<RepeatBudget> budgets(kInstances, RepeatBudget({0.2, 202, Milliseconds(10000)}));
   int repeats = 0;
   for (RepeatBudget& budget : budgets) {
-    budget.SetInstances(kInstances);
+    Settle(&budget, kInstances);
     for (int i = 0; i < kRequests; ++i) {
       budget.OnRequest("model", kNow + Milliseconds(90 * i));
       while (budget.Take("model", kNow + Milliseconds(90 * i))) {
@@ -142,7 +156,7 @@
 
 BOOST_AUTO_TEST_CASE(budget_is_per_service_and_returns_with_the_window) {
   RepeatBudget budget({0.2, 10, Milliseconds(10000)});
-  budget.SetInstances(1);
+  Settle(&budget, 1);
   while (budget.Take("model", kNow)) {
   }
   BOOST_TEST(budget.Take("orders", kNow));
@@ -150,6 +164,28 @@
   BOOST_TEST(budget.Take("model", kNow + Milliseconds(10001)));
 }
 
+// Guards against 77 instances that each took the budget of a few, because a new holder of the duty
+// had heard of few so far (swanlink grown trouble-1: 1,263 repeats where 1,219 were allowed).
+BOOST_AUTO_TEST_CASE(a_new_holder_that_counts_from_one_does_not_raise_the_budget) {
+  RepeatBudget budget({0.2, 338, Milliseconds(10000)});
+  Settle(&budget, 77);
+  for (int heard = 1; heard < 77; ++heard) {
+    budget.SetInstances(heard, kNow + Milliseconds(20 * heard));
+  }
+  BOOST_TEST(TakeAll(&budget, kNow + Milliseconds(1500)) <= 338 / 77);
+  // Instances that are really gone leave their part to the others.
+  for (int second = 2; second < 30; ++second) {
+    budget.SetInstances(30, kNow + Milliseconds(1000 * second));
+  }
+  BOOST_TEST(TakeAll(&budget, kNow + Milliseconds(30000)) > 338 / 77);
+}
+
+// Guards against instances that start and know nobody.
+BOOST_AUTO_TEST_CASE(an_instance_that_knows_no_others_takes_little) {
+  RepeatBudget budget({0.2, 338, Milliseconds(10000)});
+  BOOST_TEST(TakeAll(&budget, kNow) <= 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/fleet/fleet_test.cc
+++ b/tests/fleet/fleet_test.cc
@@ -112,7 +112,7 @@
   numbers.Learn(5, "s1");
   LoadLedger ledger;
   LoadReport report;
-  report.loads = {{5, {10, 1}}};
+  report.loads = {{5, {10, 1}, std::nullopt}};
   for (const InstanceNumber instance : {1, 2, 3}) {
     ledger.Add(instance, report, kNow);
   }
@@ -121,7 +121,7 @@
   BOOST_TEST(fleet.Find("s1")->others.token_layers == 20);
   BOOST_TEST(fleet.Find("s1")->others.requests == 2);
   const TimePoint later = kNow + LoadLedger::kReportLife;
-  ledger.Add(2, {{{5, {7, 1}}}, {}, {}}, later);
+  ledger.Add(2, {{{5, {7, 1}, std::nullopt}}, {}, {}}, later);
   ApplyTotals(ledger.Totals(later + Milliseconds(1)), {}, 1, numbers, &fleet, later);
   BOOST_TEST(ledger.Instances() == 1);
   BOOST_TEST(fleet.Find("s1")->others.token_layers == 7);
--- a/tests/support/fake_gateway.h
+++ b/tests/support/fake_gateway.h
@@ -213,6 +213,9 @@
     context.queue = &queue;
     context.monitor = &monitor;
     context.budget = &budget;
+    // Ten instances have shared the budget for long.
+    budget.SetInstances(10, loop.Now() - Milliseconds(20000));
+    budget.SetInstances(10, loop.Now());
     context.wire = &wire;
     context.engines = &engines;
     context.log = &log;
--- a/tests/sync/state_sides_test.cc
+++ b/tests/sync/state_sides_test.cc
@@ -222,7 +222,7 @@
   BOOST_TEST((copy.list.changed[0].record == news.list.changed[0].record));
   HolderTotals totals;
   totals.instances = 9;
-  totals.load = {{{7, {1500, 2}}}, {{7, 1, Milliseconds(300), true}}, {{7, 2, Milliseconds(9), 3}}};
+  totals.load = {{{7, {1500, 2}, Milliseconds(40)}}, {{7, 1, Milliseconds(300), true}}, {{7, 2, Milliseconds(9), 3}}};
   const SharedFrame second = EncodeSync(totals);
   const auto decoded_totals =
       DecodeSync({second->data() + kFrameHeaderBytes, second->size() - kFrameHeaderBytes});
@@ -230,6 +230,7 @@
   const LoadReport& load = std::get<HolderTotals>(*decoded_totals).load;
   BOOST_TEST(load.loads[0].load.token_layers == 1500);
   BOOST_TEST(load.loads[0].load.requests == 2);
+  BOOST_TEST((load.loads[0].idle == Milliseconds(40)));
   BOOST_TEST(load.suspects[0].stopped);
   BOOST_TEST((load.suspects[0].remaining == Milliseconds(300)));
   BOOST_TEST(load.paces[0].pace == 3);
