--- a/include/azuregw/fleet/fleet.h
+++ b/include/azuregw/fleet/fleet.h
@@ -9,12 +9,14 @@
 #define AZUREGW_FLEET_FLEET_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "azuregw/base/clock.h"
@@ -44,6 +46,13 @@
   }
 };
 
+// Why an upstream gets no new work for a while.
+enum class SuspectKind : uint8_t {
+  kFailing,
+  kStopped,  // It does not answer at all; its streams are to be moved.
+  kFull,     // It works, but has no memory for more.
+};
+
 // What one instance has in progress at one upstream.
 struct UpstreamLoad {
   double token_layers = 0;  // Reserved KV memory: tokens x layers held for them.
@@ -60,6 +69,7 @@
   TimePoint own_suspect_until;  // The same, by what this instance found itself.
   TimePoint stopped_until;      // Some instance found that it does not answer at all.
   TimePoint full_until;
+  TimePoint own_full_until;
   int failures = 0;       // Consecutive failures of calls.
   int reported_load = 0;  // Running and waiting requests by its own account.
   TimePoint reported_at;
@@ -100,10 +110,13 @@
   bool Suspect(const std::string& id, Milliseconds duration, TimePoint now);
   // The same for an engine that does not answer; its streams are to be moved.
   void MarkStopped(const std::string& id, Milliseconds duration, TimePoint now);
-  // It refused a stream for want of memory; new ones go elsewhere for `duration`. Not passed on.
+  // It refused a stream for want of memory; new ones go elsewhere for `duration`.
   void MarkFull(const std::string& id, Milliseconds duration, TimePoint now);
   // The same by the report of another instance, which is not passed on.
-  void SuspectByReport(const std::string& id, Milliseconds duration, bool stopped, TimePoint now);
+  void SuspectByReport(const std::string& id, Milliseconds duration, SuspectKind kind,
+                       TimePoint now);
+  // Called when this instance found something that the others should know at once.
+  void SetFindingListener(std::function<void()> listener) { m_on_finding = std::move(listener); }
   void Reserve(const std::string& id, double token_layers);
   void Release(const std::string& id, double token_layers);
   void SetOthers(const std::unordered_map<std::string, UpstreamLoad>& loads);
@@ -126,6 +139,7 @@
   std::map<std::string, Upstream> m_upstreams;
   // Entries that vanished in an outage, and until when they are kept.
   std::map<std::string, TimePoint> m_missing;
+  std::function<void()> m_on_finding = [] {};
 };
 
 }  // namespace azuregw
--- a/include/azuregw/fleet/load_ledger.h
+++ b/include/azuregw/fleet/load_ledger.h
@@ -33,7 +33,7 @@
   UpstreamNumber upstream = 0;
   InstanceNumber reporter = 0;
   Milliseconds remaining{0};
-  bool stopped = false;  // It does not answer at all.
+  SuspectKind kind = SuspectKind::kFailing;
 };
 
 struct PaceReport {
--- a/include/azuregw/placement/duty_lease.h
+++ b/include/azuregw/placement/duty_lease.h
@@ -57,6 +57,9 @@
   void Stop();
   // Gives the duty up after another holder was met, and asks again later.
   void StepDown(const std::string& reason);
+  // Whether no other instance has been seen with the duty since this one held it. It may then serve
+  // the others with what needs no fencing, also while the store cannot be reached.
+  bool LastHolder() const { return m_last_holder; }
   bool Held() const { return m_token != 0 && m_loop->Now() < m_held_until; }
   uint64_t FencingToken() const { return m_token; }
   // What the present holder stored, as far as known; empty when there is none.
@@ -81,6 +84,7 @@
   uint64_t m_lease = 0;
   uint64_t m_token = 0;  // 0: not held.
   TimePoint m_held_until;
+  bool m_last_holder = false;
   std::string m_holder_value;
   std::optional<TimePoint> m_holder_heard;
   Milliseconds m_delay{0};  // Before it asks for a free duty.
--- a/include/azuregw/sync/config_watcher.h
+++ b/include/azuregw/sync/config_watcher.h
@@ -18,6 +18,7 @@
 #include "azuregw/logging/decision_log.h"
 #include "azuregw/routes/route_table.h"
 #include "azuregw/sync/platform_codec.h"
+#include "azuregw/sync/store_retry.h"
 
 namespace azuregw {
 
@@ -30,7 +31,6 @@
   static constexpr Milliseconds kRelayingWatchWait{700};
   // After a change, so that a burst of versions is read in few calls.
   static constexpr Milliseconds kAfterChange{100};
-  static constexpr Milliseconds kAfterFailure{250};
   // A confirmation through another instance makes calls of this one's own needless while it is
   // younger. Keys are honoured 3.5 s after the last one, so some time is left for own calls.
   static constexpr Milliseconds kRelayTrust{1800};
@@ -38,8 +38,8 @@
 
   // All arguments must outlive the watcher.
   ConfigWatcher(EventLoop* loop, AsyncKeyValueStore* store, const PlatformCodec* codec,
-                RouteTable* table, DecisionLog* log)
-      : m_loop(loop), m_store(store), m_codec(codec), m_table(table), m_log(log) {}
+                RouteTable* table, StoreRetry* retry, DecisionLog* log)
+      : m_loop(loop), m_store(store), m_codec(codec), m_table(table), m_retry(retry), m_log(log) {}
 
   void Start() { Read(); }
   // Called after each change of the configuration.
@@ -73,6 +73,7 @@
   AsyncKeyValueStore* const m_store;
   const PlatformCodec* const m_codec;
   RouteTable* const m_table;
+  StoreRetry* const m_retry;
   DecisionLog* const m_log;
   std::function<void()> m_listener;
   uint64_t m_revision = 0;  // Of the store, up to which changes are known.
--- a/include/azuregw/sync/state_exchange.h
+++ b/include/azuregw/sync/state_exchange.h
@@ -25,7 +25,9 @@
   virtual ~StateExchange() = default;
   virtual void Start() = 0;
   // The configuration or the list has changed; the holder passes it on without waiting.
-  virtual void Push() = 0;
+  virtual void OnStateChanged() = 0;
+  // This instance found something that the others should know without waiting.
+  virtual void OnFinding() = 0;
   // How many instances share the load; nullopt while the load of the others is not known.
   virtual std::optional<int> Instances() const = 0;
 };
--- a/include/azuregw/sync/upstream_lister.h
+++ b/include/azuregw/sync/upstream_lister.h
@@ -21,6 +21,7 @@
 #include "azuregw/kv/async_key_value_store.h"
 #include "azuregw/logging/decision_log.h"
 #include "azuregw/sync/platform_codec.h"
+#include "azuregw/sync/store_retry.h"
 #include "azuregw/sync/upstream_relay.h"
 
 namespace azuregw {
@@ -34,13 +35,12 @@
   // A list through another instance makes calls of this one's own needless while it is younger.
   static constexpr Milliseconds kRelayTrust{1500};
   static constexpr Milliseconds kRelayCheck{100};
-  static constexpr Milliseconds kAfterFailure{300};
   // Without contact for longer, upstreams may have lapsed while the store was away.
   static constexpr Milliseconds kOutage{1800};
 
   UpstreamLister(EventLoop* loop, AsyncKeyValueStore* store, const PlatformCodec* codec,
-                 Fleet* fleet, DecisionLog* log)
-      : m_loop(loop), m_store(store), m_codec(codec), m_fleet(fleet), m_log(log) {}
+                 Fleet* fleet, StoreRetry* retry, DecisionLog* log)
+      : m_loop(loop), m_store(store), m_codec(codec), m_fleet(fleet), m_retry(retry), m_log(log) {}
 
   void Start() { Read(); }
   // Called after each change of the fleet.
@@ -64,6 +64,7 @@
   AsyncKeyValueStore* const m_store;
   const PlatformCodec* const m_codec;
   Fleet* const m_fleet;
+  StoreRetry* const m_retry;
   DecisionLog* const m_log;
   std::function<void()> m_listener;
   std::optional<TimePoint> m_listed;
--- a/src/cli/command_table.cc
+++ b/src/cli/command_table.cc
@@ -27,6 +27,9 @@
 
 namespace {
 
+// Files of `explain`: more than the instances of any fleet.
+constexpr int kMaxLogFiles = 4000;
+
 constexpr const char* kFlagNames[] = {
     "config",          "kv",         "list",    "admin",    "key_file",
     "call_timeout_ms", "json",       "author",  "expect",   "expect_version",
@@ -143,6 +146,12 @@
        0,
        "prints the events of all instances in order",
        {"admin", "list", "config", "key_file", "call_timeout_ms", "json", "request", "since_ms"}},
+      {"explain",
+       "REQUEST-ID FILE...",
+       2,
+       kMaxLogFiles,
+       "prints the story of a request from log files",
+       {"json"}},
       {"config check", "FILE", 1, 1, "checks a settings file and reports every problem", {}},
       {"version", "", 0, 0, "prints the version", {}},
   };
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -18,6 +18,7 @@
 #include "cli/command_table.h"
 #include "cli/context.h"
 #include "cli/instance_commands.h"
+#include "cli/log_commands.h"
 #include "cli/preset_commands.h"
 
 DECLARE_string(config);
@@ -76,6 +77,7 @@
       {"upstream returned", UpstreamReturned},
       {"refusals", Refusals},
       {"timeline", Timeline},
+      {"explain", Explain},
       {"config check", ConfigCheck},
       {"version", Version},
   };
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -78,6 +78,9 @@
   const bool news = now >= upstream->suspect_until;
   upstream->suspect_until = std::max(upstream->suspect_until, now + duration);
   upstream->own_suspect_until = std::max(upstream->own_suspect_until, now + duration);
+  if (news) {
+    m_on_finding();
+  }
   return news;
 }
 
@@ -90,14 +93,23 @@
 
 void Fleet::MarkFull(const std::string& id, Milliseconds duration, TimePoint now) {
   if (Upstream* const upstream = Find(id)) {
-    upstream->full_until = now + duration;
+    const bool news = now >= upstream->full_until;
+    upstream->full_until = std::max(upstream->full_until, now + duration);
+    upstream->own_full_until = now + duration;
+    if (news) {
+      m_on_finding();
+    }
   }
 }
 
-void Fleet::SuspectByReport(const std::string& id, Milliseconds duration, bool stopped,
+void Fleet::SuspectByReport(const std::string& id, Milliseconds duration, SuspectKind kind,
                             TimePoint now) {
   if (Upstream* const upstream = Find(id)) {
-    if (stopped) {
+    if (kind == SuspectKind::kFull) {
+      upstream->full_until = std::max(upstream->full_until, now + duration);
+      return;
+    }
+    if (kind == SuspectKind::kStopped) {
       upstream->stopped_until = std::max(upstream->stopped_until, now + duration);
     }
     upstream->suspect_until = std::max(upstream->suspect_until, now + duration);
--- a/src/fleet/load_ledger.cc
+++ b/src/fleet/load_ledger.cc
@@ -38,7 +38,7 @@
 
 LoadReport LoadLedger::Totals(TimePoint now) {
   std::map<UpstreamNumber, LoadShare> loads;
-  std::map<std::pair<UpstreamNumber, bool>, SuspectReport> suspects;
+  std::map<std::pair<UpstreamNumber, SuspectKind>, SuspectReport> suspects;
   std::map<UpstreamNumber, PaceReport> paces;
   for (auto entry = m_reports.begin(); entry != m_reports.end();) {
     const auto age = std::chrono::duration_cast<Milliseconds>(now - entry->second.received);
@@ -56,7 +56,7 @@
       }
     }
     for (const SuspectReport& suspect : report.suspects) {
-      KeepLongest(&suspects, std::make_pair(suspect.upstream, suspect.stopped), suspect, age);
+      KeepLongest(&suspects, std::make_pair(suspect.upstream, suspect.kind), suspect, age);
     }
     for (const PaceReport& pace : report.paces) {
       KeepLongest(&paces, pace.upstream, pace, age);
@@ -81,10 +81,11 @@
   LoadReport report;
   for (const auto& [id, upstream] : fleet.All()) {
     const bool suspect = upstream.own_suspect_until > now;
+    const bool full = upstream.own_full_until > now;
     const bool pace = upstream.pace_asked_here && upstream.slowdown_until > now;
     const auto idle = std::chrono::duration_cast<Milliseconds>(now - upstream.own_progress);
     const bool active = upstream.own.requests > 0 || idle < kIdleOfInterest;
-    if (!active && !suspect && !pace) {
+    if (!active && !suspect && !full && !pace) {
       continue;
     }
     const std::optional<UpstreamNumber> number = numbers.NumberOf(id);
@@ -96,8 +97,13 @@
           {*number, upstream.own, idle < kIdleOfInterest ? std::optional(idle) : std::nullopt});
     }
     if (suspect) {
-      report.suspects.push_back({*number, reporter, Remaining(upstream.own_suspect_until, now),
-                                 upstream.stopped_until > now});
+      report.suspects.push_back(
+          {*number, reporter, Remaining(upstream.own_suspect_until, now),
+           upstream.stopped_until > now ? SuspectKind::kStopped : SuspectKind::kFailing});
+    }
+    if (full) {
+      report.suspects.push_back(
+          {*number, reporter, Remaining(upstream.own_full_until, now), SuspectKind::kFull});
     }
     if (pace) {
       report.paces.push_back(
@@ -132,7 +138,7 @@
   for (const SuspectReport& suspect : totals.suspects) {
     const std::string* const id = numbers.IdOf(suspect.upstream);
     if (id != nullptr && suspect.reporter != reporter) {
-      fleet->SuspectByReport(*id, suspect.remaining, suspect.stopped, now);
+      fleet->SuspectByReport(*id, suspect.remaining, suspect.kind, now);
     }
   }
   for (const PaceReport& pace : totals.paces) {
--- a/src/forward/exchange_base.cc
+++ b/src/forward/exchange_base.cc
@@ -200,7 +200,8 @@
   AddDetails(&line);
   m_context->log->Write("request_closed", std::move(line), bad);
   m_context->metrics->Add("azuregw_requests_total", "outcome=\"" + outcome + "\"", 1);
-  m_context->metrics->Observe("azuregw_request_ms", "", static_cast<double>(took));
+  m_context->metrics->ObserveLatency("azuregw_request_ms", "outcome=\"" + outcome + "\"",
+                                     static_cast<double>(took));
 }
 
 std::unique_ptr<ForwardExchange> MakeExchange(ForwardContext* context, IncomingRequest request,
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -62,9 +62,9 @@
         m_paths(m_random.get()),
         m_budget({settings.repeat_share, settings.repeat_allowance, settings.repeat_window}),
         m_config_watcher(m_loop.get(), m_platform.store.get(), m_platform.codec.get(), &m_routes,
-                         m_log.get()),
+                         &m_store_retry, m_log.get()),
         m_lister(m_loop.get(), m_platform.store.get(), m_platform.codec.get(), &m_fleet,
-                 m_log.get()),
+                 &m_store_retry, m_log.get()),
         m_duty(m_loop.get(), m_platform.store.get(), m_random.get(), m_log.get(), kLayoutDuty,
                settings.name + " " + EndpointText(settings.peer_address)),
         m_layout(m_loop.get(), &m_duty, &m_routes, &m_fleet, m_platform.engines.get(), m_log.get()),
@@ -122,11 +122,12 @@
       return Fatal(exchange.error());
     }
     m_exchange = std::move(exchange.value());
-    m_config_watcher.SetListener([this] { m_exchange->Push(); });
+    m_config_watcher.SetListener([this] { m_exchange->OnStateChanged(); });
     m_lister.SetListener([this] {
-      m_exchange->Push();
+      m_exchange->OnStateChanged();
       m_queue.StartSome(m_loop->Now());
     });
+    m_fleet.SetFindingListener([this] { m_exchange->OnFinding(); });
     m_duty.SetCpuShare(m_context.settings.cpu_share);
     m_config_watcher.Start();
     m_lister.Start();
@@ -213,6 +214,7 @@
       if (instances) {
         m_last_instances = *instances;
         m_budget.SetInstances(m_last_instances, m_loop->Now());
+        m_store_retry.SetInstances(m_last_instances);
       }
       if (m_queue.Size() > 0) {
         m_queue.StartSome(m_loop->Now());
@@ -285,6 +287,7 @@
   StreamQueue m_queue;
   StreamMonitor m_monitor;
   RepeatBudget m_budget;
+  StoreRetry m_store_retry{m_random.get()};
   ConfigWatcher m_config_watcher;
   UpstreamLister m_lister;
   DutyLease m_duty;
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -32,6 +32,7 @@
 // streams are up to two report intervals old.
 constexpr Milliseconds kWorkedLately{600};
 // A full engine has memory again as soon as one of its streams ends, some 20 times a second.
+// The others hear of it some 100 ms later.
 constexpr Milliseconds kFullFor{200};
 // A stream is not moved when less time is left.
 constexpr Milliseconds kLeastTimeToMove{300};
@@ -143,6 +144,8 @@
     m_head_sent = true;
     m_responder->BeginStream(m_head);
   }
+  m_context->metrics->ObserveLatency("azuregw_longest_pause_ms", "",
+                                     static_cast<double>(m_longest_pause.count()));
   Close(200, "delivered", "last event " + m_last_sent_id.value_or("none"));
   m_responder->EndStream();
   Freed();
@@ -264,8 +267,8 @@
     WatchSilence();  // From now on, a shorter silence is too long.
     m_head_sent = true;
     m_first_event = std::chrono::duration_cast<Milliseconds>(now - m_request.arrived);
-    m_context->metrics->Observe("azuregw_first_event_ms", "",
-                                static_cast<double>(m_first_event.count()));
+    m_context->metrics->ObserveLatency("azuregw_first_event_ms", "",
+                                       static_cast<double>(m_first_event.count()));
     m_responder->BeginStream(m_head);
   } else {
     m_longest_pause =
--- /dev/null
+++ b/src/logging/request_story.cc
@@ -0,0 +1,113 @@
+// Selection and order of log lines.
+
+#include "azuregw/logging/request_story.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace azuregw {
+namespace {
+
+using nlohmann::ordered_json;
+
+// Changes of belief that concern every request of an instance.
+constexpr std::string_view kGeneralBeliefs[] = {
+    "start",          "stop",         "stopping",       "reload",    "reload_failed",
+    "config_adopted", "store_lost",   "store_regained", "readiness", "config_unreadable",
+    "lines_left_out", "lines_dropped"};
+
+std::optional<ordered_json> Parse(std::string_view line) {
+  const size_t begin = line.find("{\"");
+  if (begin == std::string_view::npos) {
+    return std::nullopt;
+  }
+  ordered_json parsed = ordered_json::parse(line.substr(begin), nullptr, false);
+  if (!parsed.is_object() || !parsed.contains("time_ms") || !parsed["time_ms"].is_number() ||
+      !parsed.contains("instance") || !parsed["instance"].is_string() ||
+      !parsed.contains("event") || !parsed["event"].is_string()) {
+    return std::nullopt;
+  }
+  return parsed;
+}
+
+std::string TextOf(const ordered_json& line, const char* field) {
+  const auto found = line.find(field);
+  return found != line.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+}  // namespace
+
+void RequestStory::FindRequest(std::string_view line) {
+  // Parsing is slow, and few lines name the request.
+  if (line.find(m_request_id) == std::string_view::npos) {
+    return;
+  }
+  std::optional<ordered_json> parsed = Parse(line);
+  if (!parsed || TextOf(*parsed, "request_id") != m_request_id) {
+    return;
+  }
+  const int64_t time_ms = (*parsed)["time_ms"].get<int64_t>();
+  const auto span = m_instances.emplace(TextOf(*parsed, "instance"), Span{time_ms, time_ms}).first;
+  span->second.first_ms = std::min(span->second.first_ms, time_ms);
+  span->second.last_ms = std::max(span->second.last_ms, time_ms);
+  if (const std::string upstream = TextOf(*parsed, "upstream"); !upstream.empty()) {
+    m_upstreams.insert(upstream);
+  }
+  if (const auto path = parsed->find("path"); path != parsed->end() && path->is_array()) {
+    for (const ordered_json& hop : *path) {
+      const std::string text = hop.is_string() ? hop.get<std::string>() : std::string();
+      m_upstreams.insert(text.substr(0, text.find('=')));
+    }
+  }
+  m_lines.push_back(std::move(*parsed));
+}
+
+void RequestStory::FindBeliefs(std::string_view line) {
+  std::optional<ordered_json> parsed = Parse(line);
+  if (!parsed || TextOf(*parsed, "request_id") == m_request_id) {
+    return;
+  }
+  const auto span = m_instances.find(TextOf(*parsed, "instance"));
+  const int64_t time_ms = (*parsed)["time_ms"].get<int64_t>();
+  if (span == m_instances.end() || time_ms < span->second.first_ms - kBeliefsBeforeMs ||
+      time_ms > span->second.last_ms) {
+    return;
+  }
+  const std::string event = TextOf(*parsed, "event");
+  const bool general = std::find(std::begin(kGeneralBeliefs), std::end(kGeneralBeliefs), event) !=
+                       std::end(kGeneralBeliefs);
+  // Attempts of other requests at the same upstreams are not beliefs.
+  const bool belief = event.rfind("upstream", 0) == 0 || event.rfind("engine", 0) == 0;
+  if (general || (belief && m_upstreams.count(TextOf(*parsed, "upstream")) > 0)) {
+    m_lines.push_back(std::move(*parsed));
+  }
+}
+
+std::vector<ordered_json> RequestStory::Lines() const {
+  std::vector<ordered_json> lines = m_lines;
+  std::stable_sort(lines.begin(), lines.end(), [](const ordered_json& a, const ordered_json& b) {
+    return a["time_ms"].get<int64_t>() < b["time_ms"].get<int64_t>();
+  });
+  return lines;
+}
+
+std::string RequestStory::Text() const {
+  std::string text;
+  std::optional<int64_t> first_ms;
+  for (const ordered_json& line : Lines()) {
+    const int64_t time_ms = line["time_ms"].get<int64_t>();
+    first_ms = first_ms.value_or(time_ms);
+    text += "+" + std::to_string(time_ms - *first_ms) + " ms  " + TextOf(line, "instance") + "  " +
+            TextOf(line, "event");
+    for (const auto& [field, value] : line.items()) {
+      if (field != "time_ms" && field != "instance" && field != "event" &&
+          field != "failure_domain" && field != "request_id") {
+        text += "  " + field + "=" + (value.is_string() ? value.get<std::string>() : value.dump());
+      }
+    }
+    text += "\n";
+  }
+  return text;
+}
+
+}  // namespace azuregw
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -1,4 +1,4 @@
-// Metrics over Boost.Accumulators.
+// Metrics over Boost.Accumulators and Boost.Histogram.
 
 #include "azuregw/metrics/metrics.h"
 
@@ -6,6 +6,7 @@
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/extended_p_square.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
+#include <boost/histogram.hpp>
 #include <cinttypes>
 #include <cstdio>
 #include <map>
@@ -13,6 +14,7 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "azuregw/base/clock.h"
 #include "azuregw/base/rendezvous.h"
@@ -37,6 +39,45 @@
   return QuantileEstimator(acc::extended_p_square_probabilities = kQuantiles);
 }
 
+// Upper bounds of the buckets, in ms: denser around the latency targets of 100 to 500 ms and the
+// pauses of 200 to 250 ms that callers accept.
+const std::vector<double>& LatencyBounds() {
+  static const auto* const bounds =
+      new std::vector<double>{0,   5,   10,  20,   35,   50,   75,   100,  150,   200,  250,
+                              350, 500, 750, 1000, 1500, 2000, 3500, 5000, 10000, 20000};
+  return *bounds;
+}
+
+class LatencyHistogram {
+ public:
+  LatencyHistogram()
+      : m_counts(boost::histogram::make_histogram(
+            boost::histogram::axis::variable<double>(LatencyBounds()))) {}
+
+  void Observe(double ms) {
+    m_counts(ms);
+    m_sum += ms;
+    ++m_total;
+  }
+  double Sum() const { return m_sum; }
+  uint64_t Total() const { return m_total; }
+  // Observations below LatencyBounds()[index].
+  double CountBelow(size_t index) const {
+    double count = 0;
+    for (size_t i = 0; i < index; ++i) {
+      count += m_counts.at(static_cast<int>(i));
+    }
+    return count;
+  }
+
+ private:
+  using Counts =
+      decltype(boost::histogram::make_histogram(boost::histogram::axis::variable<double>()));
+  Counts m_counts;
+  double m_sum = 0;
+  uint64_t m_total = 0;
+};
+
 // Two estimators that start half a window apart; the older one is reported.
 class Summary {
  public:
@@ -82,6 +123,7 @@
   std::unordered_map<std::string, double> counters;
   std::unordered_map<std::string, double> gauges;
   std::unordered_map<std::string, Summary> summaries;
+  std::unordered_map<std::string, LatencyHistogram> histograms;
 };
 
 const std::string& SeriesKey(std::string_view name, std::string_view labels) {
@@ -164,6 +206,13 @@
     it->second.Observe(value, now);
   }
 
+  void ObserveLatency(std::string_view name, std::string_view labels, double ms) override {
+    const std::string& key = SeriesKey(name, labels);
+    Shard& shard = ShardOf(key);
+    const std::lock_guard<std::mutex> lock(shard.mutex);
+    shard.histograms[key].Observe(ms);
+  }
+
   std::string PrometheusText() const override {
     TextBuilder text;
     for (Shard& shard : m_shards) {
@@ -188,6 +237,17 @@
       const auto [name, labels] = SplitKey(key);
       text->Line(name, "gauge", "", Braces(labels, ""), value);
     }
+    for (const auto& [key, histogram] : shard.histograms) {
+      const auto [name, labels] = SplitKey(key);
+      const auto total = static_cast<double>(histogram.Total());
+      for (size_t i = 1; i < LatencyBounds().size(); ++i) {
+        const std::string bound = "le=\"" + FormatNumber(LatencyBounds()[i]) + "\"";
+        text->Line(name, "histogram", "_bucket", Braces(labels, bound), histogram.CountBelow(i));
+      }
+      text->Line(name, "histogram", "_bucket", Braces(labels, "le=\"+Inf\""), total);
+      text->Line(name, "histogram", "_sum", Braces(labels, ""), histogram.Sum());
+      text->Line(name, "histogram", "_count", Braces(labels, ""), total);
+    }
     for (const auto& [key, summary] : shard.summaries) {
       const auto [name, labels] = SplitKey(key);
       for (size_t i = 0; summary.HasQuantiles() && i < kQuantiles.size(); ++i) {
--- a/src/placement/duty_lease.cc
+++ b/src/placement/duty_lease.cc
@@ -28,6 +28,7 @@
 
 void DutyLease::Stop() {
   m_stopped = true;
+  m_last_holder = false;
   m_timer.reset();
   if (m_token != 0) {
     // Lets another instance take over at once instead of after the lease.
@@ -44,6 +45,7 @@
 void DutyLease::StepDown(const std::string& reason) {
   if (m_token != 0) {
     Lose(reason);
+    m_last_holder = false;
   }
 }
 
@@ -70,6 +72,7 @@
     }
     if (reading.value().entry) {
       const std::string& holder = reading.value().entry->value;
+      m_last_holder = m_last_holder && holder == m_value;
       if (holder != m_holder_value) {
         m_holder_value = holder;
         m_log->Write("duty_holder",
@@ -144,6 +147,7 @@
   m_token = token;
   m_held_until = granted + kTtl - kStopMargin;
   m_holder_value = m_value;
+  m_last_holder = true;
   m_log->Write("duty_taken", {{"duty", m_key}, {"fencing_token", token}}, true);
   Later(kRenewInterval, &DutyLease::Renew);
 }
--- a/src/sync/config_watcher.cc
+++ b/src/sync/config_watcher.cc
@@ -93,13 +93,13 @@
   m_store->Get(m_codec->ConfigKey(), ReadMode::kNewest, [this, sent](Result<KvReading> reading) {
     if (!reading) {
       OnFailure(reading.error());
-      Later(kAfterFailure, &ConfigWatcher::Next);
+      Later(m_retry->Next(), &ConfigWatcher::Next);
       return;
     }
     m_revision = reading.value().store_revision;
     if (!reading.value().entry) {
       // The operator has not written a configuration yet.
-      Later(kAfterFailure, &ConfigWatcher::Next);
+      Later(m_retry->Next(), &ConfigWatcher::Next);
       return;
     }
     if (Apply(reading.value().entry->value, "store")) {
--- a/src/sync/state_exchange.cc
+++ b/src/sync/state_exchange.cc
@@ -31,6 +31,8 @@
 constexpr Milliseconds kReconnect{400};
 // Changes that come together leave together.
 constexpr Milliseconds kPushDelay{20};
+// Reports and totals between the regular ones come at most this many times as often.
+constexpr int kPushRate = 3;
 
 // The "IP:port" at the end of what the holder stored with its duty.
 std::optional<tcp::endpoint> HolderEndpoint(const std::string& value) {
@@ -57,12 +59,12 @@
     Tick();
   }
 
-  void Push() override {
-    if (m_holding && !m_pushing) {
-      m_pushing = true;
-      m_timer = m_loop->After(kPushDelay, [this] { Tick(); });
+  void OnStateChanged() override {
+    if (m_holding) {
+      Push();
     }
   }
+  void OnFinding() override { Push(); }
 
   std::optional<int> Instances() const override {
     if (!m_known || m_loop->Now() - m_received > kLoadLife) {
@@ -72,6 +74,16 @@
   }
 
  private:
+  void Push() {
+    if (m_pushing) {
+      return;
+    }
+    m_pushing = true;
+    const auto since = std::chrono::duration_cast<Milliseconds>(m_loop->Now() - m_ticked);
+    const Milliseconds gap = ReportInterval(m_instances) / kPushRate;
+    m_timer = m_loop->After(std::max(kPushDelay, gap - since), [this] { Tick(); });
+  }
+
   void Accept() {
     m_acceptor.async_accept([this](error_code error, tcp::socket socket) {
       if (error == asio::error::operation_aborted) {
@@ -101,12 +113,17 @@
     m_holding->OnReport(*report, &found->second);
     if (first) {
       // It waits for the configuration.
-      key->Send(EncodeSync(m_holding->NewsFor(&found->second)));
+      key->Send(EncodeSync(m_holding->NewsFor(&found->second, m_parts.duty->Held())));
+    }
+    if (report->urgent) {
+      Push();
     }
   }
 
   void Tick() {
+    const bool urgent = m_pushing;
     m_pushing = false;
+    m_ticked = m_loop->Now();
     m_timer = m_loop->After(ReportInterval(m_instances), [this] { Tick(); });
     for (auto link = m_reporters.begin(); link != m_reporters.end();) {
       if (link->first->Silent()) {
@@ -114,11 +131,12 @@
       }
       link = link->first->Closed() ? m_reporters.erase(link) : std::next(link);
     }
-    SetHolding(m_parts.duty->Held());
+    // Without the store nobody can hold the duty, but the instances still need the load of others.
+    SetHolding(m_parts.duty->Held() || m_parts.duty->LastHolder());
     if (m_holding) {
       Answer();
     } else {
-      Report();
+      Report(urgent);
     }
   }
 
@@ -149,14 +167,14 @@
     const SharedFrame frame = EncodeSync(totals);
     for (auto& [link, state] : m_reporters) {
       if (state.stamp_us != 0) {
-        link->Send(EncodeSync(m_holding->NewsFor(&state)));
+        link->Send(EncodeSync(m_holding->NewsFor(&state, m_parts.duty->Held())));
         link->Send(frame);
       }
     }
     OnTotals(totals.instances, m_name);
   }
 
-  void Report() {
+  void Report(bool urgent) {
     const std::optional<tcp::endpoint> holder = HolderEndpoint(m_parts.duty->HolderValue());
     if (!holder || *holder == m_address) {
       DropHolder();
@@ -180,7 +198,9 @@
       m_holder->Connect(*holder);
     }
     if (m_holder->Open()) {
-      m_holder->Send(EncodeSync(m_reporting->NextReport()));
+      InstanceReport report = m_reporting->NextReport();
+      report.urgent = urgent;
+      m_holder->Send(EncodeSync(report));
     }
   }
 
@@ -188,8 +208,10 @@
     if (!m_reporting) {
       return;
     }
-    m_parts.duty->OnHolderHeard();
     if (const auto* const news = std::get_if<HolderNews>(&message)) {
+      if (news->held) {
+        m_parts.duty->OnHolderHeard();
+      }
       m_reporting->OnNews(*news);
     } else if (const auto* const totals = std::get_if<HolderTotals>(&message)) {
       m_reporting->OnTotals(*totals);
@@ -222,13 +244,14 @@
   const SharedState m_state;
   tcp::acceptor m_acceptor;
   std::map<std::shared_ptr<PeerLink>, ReporterState> m_reporters;  // Instances that report here.
-  std::optional<HolderSide> m_holding;                             // Set while the duty is held.
+  std::optional<HolderSide> m_holding;                             // Set while others report here.
   std::shared_ptr<PeerLink> m_holder;                              // To the holder of the duty.
   std::optional<ReporterSide> m_reporting;                         // Set with m_holder.
   tcp::endpoint m_holder_endpoint;
   TimePoint m_next_connect;
   bool m_known = false;
-  bool m_pushing = false;
+  bool m_pushing = false;  // The next tick is brought forward.
+  TimePoint m_ticked;
   TimePoint m_received;
   int m_instances = 0;
   std::unique_ptr<Timer> m_timer;
--- a/src/sync/state_sides.cc
+++ b/src/sync/state_sides.cc
@@ -28,9 +28,10 @@
   return !m_state.lister->Confirmed() || m_history.Update(*m_state.fleet);
 }
 
-HolderNews HolderSide::NewsFor(ReporterState* reporter) {
+HolderNews HolderSide::NewsFor(ReporterState* reporter, bool held) {
   HolderNews news;
   news.holder = m_name;
+  news.held = held;
   news.reporter = reporter->number;
   news.echo_us = reporter->stamp_us;
   if (const auto config = m_state.config->Confirmed()) {
--- a/src/sync/state_sides.h
+++ b/src/sync/state_sides.h
@@ -46,7 +46,8 @@
   void OnReport(const InstanceReport& report, ReporterState* reporter);
   // Returns false when the tenure must end, because the numbers of upstreams are used up.
   bool TakeList();
-  HolderNews NewsFor(ReporterState* reporter);
+  // `held`: the duty is held at present.
+  HolderNews NewsFor(ReporterState* reporter, bool held);
   // The sum, with this instance's own part, which is taken over here, too.
   HolderTotals Totals();
 
--- a/src/sync/sync_frames.cc
+++ b/src/sync/sync_frames.cc
@@ -25,7 +25,8 @@
   }
   for (const SuspectReport& suspect : load.suspects) {
     table->suspects.emplace_back(suspect.upstream, suspect.reporter,
-                                 static_cast<uint32_t>(suspect.remaining.count()), suspect.stopped);
+                                 static_cast<uint32_t>(suspect.remaining.count()),
+                                 static_cast<wire::SuspectKind>(suspect.kind));
   }
   for (const PaceReport& pace : load.paces) {
     table->paces.emplace_back(pace.upstream, pace.reporter,
@@ -45,8 +46,8 @@
     load.loads.push_back({entry.number(), {entry.token_layers(), entry.requests()}, idle});
   }
   for (const wire::SuspectEntry& entry : table.suspects) {
-    load.suspects.push_back(
-        {entry.number(), entry.reporter(), Milliseconds(entry.remaining_ms()), entry.stopped()});
+    load.suspects.push_back({entry.number(), entry.reporter(), Milliseconds(entry.remaining_ms()),
+                             static_cast<SuspectKind>(entry.kind())});
   }
   for (const wire::PaceEntry& entry : table.paces) {
     load.paces.push_back(
@@ -100,6 +101,7 @@
   wire::InstanceReportT table;
   table.instance = report.instance;
   table.stamp_us = report.stamp_us;
+  table.urgent = report.urgent;
   PackLoad(report.load, &table);
   wire::SyncBodyUnion body;
   body.Set(std::move(table));
@@ -109,6 +111,7 @@
 wire::SyncBodyUnion Pack(const HolderNews& news) {
   wire::HolderNewsT table;
   table.holder = news.holder;
+  table.held = news.held;
   table.reporter = news.reporter;
   table.echo_us = news.echo_us;
   if (news.config) {
@@ -143,6 +146,7 @@
 HolderNews UnpackNews(const wire::HolderNewsT& table) {
   HolderNews news;
   news.holder = table.holder;
+  news.held = table.held;
   news.reporter = table.reporter;
   news.echo_us = table.echo_us;
   if (table.config_known) {
@@ -177,7 +181,7 @@
   }
   const std::unique_ptr<wire::SyncFrameT> frame(wire::GetSyncFrame(payload.data())->UnPack());
   if (const wire::InstanceReportT* const table = frame->body.AsInstanceReport()) {
-    return InstanceReport{table->instance, table->stamp_us, UnpackLoad(*table)};
+    return InstanceReport{table->instance, table->stamp_us, table->urgent, UnpackLoad(*table)};
   }
   if (const wire::HolderNewsT* const table = frame->body.AsHolderNews()) {
     return UnpackNews(*table);
--- a/src/sync/sync_frames.h
+++ b/src/sync/sync_frames.h
@@ -20,6 +20,7 @@
 struct InstanceReport {
   std::string instance;
   int64_t stamp_us = 0;  // Of the sender's clock.
+  bool urgent = false;   // Contains something new that all should know at once.
   LoadReport load;
 };
 
@@ -32,6 +33,7 @@
 
 struct HolderNews {
   std::string holder;
+  bool held = false;            // Else the last holder goes on until there is another one.
   InstanceNumber reporter = 0;  // Of the receiver.
   int64_t echo_us = 0;          // 0: no report has arrived yet.
   std::optional<RelayedConfig> config;
--- a/src/sync/upstream_lister.cc
+++ b/src/sync/upstream_lister.cc
@@ -69,7 +69,7 @@
                                  {{"for", "upstreams"}, {"reason", listing.error().message}}, true);
                   }
                   const Milliseconds interval = m_relaying ? kRelayingInterval : kInterval;
-                  m_timer = m_loop->After(listing ? interval : kAfterFailure, [this] { Next(); });
+                  m_timer = m_loop->After(listing ? interval : m_retry->Next(), [this] { Next(); });
                 });
 }
 
--- a/tests/fakes/fakes_main.cc
+++ b/tests/fakes/fakes_main.cc
@@ -1,19 +1,26 @@
 // azuregw-fakes: the stand-ins of the platform and the upstreams as separate processes.
 //
 //   azuregw-fakes kv|list|engine|service --address=IP:port ...
+//   azuregw-fakes platform --net=127.30.1   the users' platform: a store, four engines, two services
+//   azuregw-fakes platform-settings --net=127.30.1 --instance=N   prints settings of an instance
 //   azuregw-fakes expect --prompt=TEXT --total_layers=N --max_tokens=N   prints the text of a right
 //   answer
 
 #include <gflags/gflags.h>
 
+#include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <iostream>
+#include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "tests/fakes/fake_engine.h"
 #include "tests/fakes/fake_kv.h"
 #include "tests/fakes/fake_list.h"
 #include "tests/fakes/fake_service.h"
+#include "tests/fakes/platform_upstreams.h"
 
 DEFINE_string(address, "127.0.0.1:0", "IP:port to listen on");
 DEFINE_int32(threads, 4, "threads of the HTTP pool");
@@ -31,6 +38,8 @@
 DEFINE_string(model_version, "1", "engine: version of the model at the start");
 DEFINE_string(log, "", "engine, service: file for the log of what ran");
 DEFINE_int32(work_ms, 5, "service: time of one call");
+DEFINE_string(net, "127.30.1", "platform: first three numbers of its addresses");
+DEFINE_int32(instance, 1, "platform-settings: number of the instance");
 DEFINE_string(prompt, "", "expect: prompt");
 DEFINE_int32(max_tokens, 16, "expect: generated tokens");
 
@@ -70,6 +79,55 @@
   return options;
 }
 
+std::string NetAddress(int last) { return FLAGS_net + "." + std::to_string(last); }
+
+constexpr uint16_t kPlatformStorePort = 8223;
+constexpr uint16_t kPlatformUpstreamPort = 8201;
+
+// Addresses: the store .1, upstreams from .11 on, instances from .101 on.
+int ServePlatform() {
+  boost::asio::io_context io{1};
+  const std::unique_ptr<EventLoop> loop = MakeEventLoop(&io);
+  PlatformStore store(loop.get());
+  RunJournal journal;
+  PlatformUpstream::Peers peers;
+  std::vector<std::unique_ptr<PlatformUpstream>> upstreams;
+  const auto server = MakeStandInServer(
+      &io, {boost::asio::ip::make_address(NetAddress(1)), kPlatformStorePort},
+      [&store](const StandInRequest& request, std::shared_ptr<StandInReply> reply) {
+        store.Handle(request, std::move(reply));
+      });
+  bool started = server != nullptr;
+  for (int i = 0; i < 6 && started; ++i) {
+    UpstreamSpec spec;
+    spec.id = "u" + std::to_string(i);
+    spec.failure_domain = i % 2 == 0 ? "a" : "b";
+    spec.address = {boost::asio::ip::make_address(NetAddress(11 + i)), kPlatformUpstreamPort};
+    spec.service = i < 4 ? "model" : "orders";
+    spec.accelerator = i < 4 ? "fast" : "";
+    upstreams.push_back(std::make_unique<PlatformUpstream>(&io, loop.get(), &store, &peers,
+                                                           &journal, std::move(spec)));
+    peers[upstreams.back()->Address()] = upstreams.back().get();
+    started = upstreams.back()->Start();
+  }
+  if (!started) {
+    std::cerr << "an address of " << FLAGS_net << " cannot be bound\n";
+    return 2;
+  }
+  store.Put("op/config", PlatformConfig(1, {"key-0"}));
+  std::cout << "ready " << NetAddress(1) << std::endl;
+  // main() blocks them for sigwait in Serve.
+  sigset_t blocked;
+  sigemptyset(&blocked);
+  sigaddset(&blocked, SIGTERM);
+  sigaddset(&blocked, SIGINT);
+  pthread_sigmask(SIG_UNBLOCK, &blocked, nullptr);
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&io](const boost::system::error_code&, int) { io.stop(); });
+  io.run();
+  std::_Exit(0);
+}
+
 template <class Fake>
 int ServeFake(Fake* fake) {
   return Serve([fake](const FakeRequest& request, const ReplyFunction& reply) {
@@ -94,11 +152,21 @@
     FakeService fake(FLAGS_capacity, std::chrono::milliseconds(FLAGS_work_ms), FLAGS_log);
     return ServeFake(&fake);
   }
+  if (command == "platform") {
+    return ServePlatform();
+  }
+  if (command == "platform-settings") {
+    const int number = FLAGS_instance;
+    std::cout << PlatformSettings("gw-" + std::to_string(number), number % 2 == 0 ? "a" : "b",
+                                  NetAddress(100 + number),
+                                  NetAddress(1) + ":" + std::to_string(kPlatformStorePort));
+    return 0;
+  }
   if (command == "expect") {
     std::cout << ExpectedText(FLAGS_prompt, FLAGS_total_layers, FLAGS_max_tokens) << "\n";
     return 0;
   }
-  std::cerr << "usage: azuregw-fakes kv|list|engine|service|expect [flags]\n";
+  std::cerr << "usage: azuregw-fakes kv|list|engine|service|platform|platform-settings|expect [flags]\n";
   return 1;
 }
 
--- /dev/null
+++ b/tests/fakes/platform_upstreams.h
@@ -0,0 +1,138 @@
+// Stand-ins for the platform's upstreams: model engines that hold layers and pass streams on to
+// each other, and plain services. They register in the store and note what ran.
+
+#ifndef TESTS_FAKES_PLATFORM_UPSTREAMS_H_
+#define TESTS_FAKES_PLATFORM_UPSTREAMS_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "azuregw/base/event_loop.h"
+#include "tests/fakes/platform_store.h"
+#include "tests/fakes/stand_in_server.h"
+
+namespace azuregw::fakes {
+
+// Layers of the model, and events of each stream.
+constexpr int kModelLayers = 16;
+constexpr int kStreamEvents = 25;
+// The data of one event of the answer to a request with this body.
+std::string EventData(const std::string& body, int event);
+
+enum class UpstreamTrouble {
+  kNone,
+  kMute,     // Takes requests and answers nothing.
+  kRefuses,  // Says that it has not run the request.
+  kCuts,     // Runs the request and closes the connection.
+  kGarbles,  // Answers with bytes that are no answer.
+  kDead,     // No process.
+};
+
+struct UpstreamSpec {
+  std::string id;
+  std::string service;
+  std::string failure_domain;
+  boost::asio::ip::tcp::endpoint address;
+  std::string accelerator;  // Empty: a plain service.
+  int slots = 32;
+};
+
+// What ran, by request id, at all upstreams.
+struct RunJournal {
+  std::map<std::string, int> runs;
+};
+
+class PlatformUpstream {
+ public:
+  // Upstreams know each other through `peers`, by address.
+  using Peers = std::map<std::string, PlatformUpstream*>;
+
+  // Pointers must outlive the upstream.
+  PlatformUpstream(boost::asio::io_context* io, EventLoop* loop, PlatformStore* store,
+                   const Peers* peers, RunJournal* journal, UpstreamSpec spec);
+  ~PlatformUpstream();
+
+  // Registers and serves. False when its address cannot be bound.
+  bool Start();
+  // Ends without a word; its layers are lost.
+  void Crash();
+  // Reports that it leaves, and is gone after `after`.
+  void Leave(Milliseconds after);
+  void SetTrouble(UpstreamTrouble trouble) { m_trouble = trouble; }
+
+  const UpstreamSpec& Spec() const { return m_spec; }
+  std::string Address() const;
+  bool Alive() const { return m_server != nullptr && m_trouble != UpstreamTrouble::kDead; }
+  bool Holds(int first, int last) const {
+    return m_last > m_first && m_first <= first && last <= m_last;
+  }
+  // Work that reached it after it had said, long enough ago, that it leaves.
+  int LateWork() const { return m_late_work; }
+
+ private:
+  struct Hop {
+    std::string address;
+    int first = 0;
+    int last = 0;
+  };
+  struct Stream {
+    std::string id;
+    std::string body;
+    std::vector<Hop> path;
+    int next_event = 1;
+    std::shared_ptr<StandInReply> reply;
+    bool begun = false;
+    TimePoint stalled_since;  // Zero while it goes on.
+    std::unique_ptr<Timer> timer;
+  };
+
+  void Handle(const StandInRequest& request, const std::shared_ptr<StandInReply>& reply);
+  void Serve(const StandInRequest& request, const std::shared_ptr<StandInReply>& reply);
+  void BeginStream(const StandInRequest& request, const std::shared_ptr<StandInReply>& reply);
+  void Step(const std::shared_ptr<Stream>& stream);
+  void Order(const StandInRequest& request, const std::shared_ptr<StandInReply>& reply);
+  void Report(const std::shared_ptr<StandInReply>& reply);
+  void Register();
+  // The hop that is not there or does not hold its layers; null when all are.
+  const Hop* Missing(const std::vector<Hop>& path) const;
+  StandInFields Sealed(const std::string& id) const;
+  static std::vector<Hop> ParsePath(const std::string& text);
+
+  boost::asio::io_context* const m_io;
+  EventLoop* const m_loop;
+  PlatformStore* const m_store;
+  const Peers* const m_peers;
+  RunJournal* const m_journal;
+  const UpstreamSpec m_spec;
+  UpstreamTrouble m_trouble = UpstreamTrouble::kNone;
+  std::unique_ptr<StandInServer> m_server;
+  int64_t m_started_ms = 0;
+  uint64_t m_sequence = 0;
+  uint64_t m_highest_token = 0;
+  int m_first = 0;
+  int m_last = 0;  // Not above m_first: it holds nothing.
+  bool m_leaving = false;
+  TimePoint m_leaving_since;
+  int m_late_work = 0;
+  std::vector<std::shared_ptr<Stream>> m_streams;
+  std::vector<std::unique_ptr<Timer>> m_timers;
+  std::unique_ptr<Timer> m_heartbeat;
+};
+
+// The operator's configuration for these upstreams: streams under /model/, which may be resumed,
+// orders under /order/ and look-ups under /look/, for callers with one of `keys`.
+std::string PlatformConfig(uint64_t version, const std::vector<std::string>& keys);
+
+// Settings of an instance in the platform's form; it listens on fixed ports of `ip`.
+std::string PlatformSettings(const std::string& name, const std::string& failure_domain,
+                             const std::string& ip, const std::string& store_address);
+constexpr uint16_t kStandInCallerPort = 8227;
+constexpr uint16_t kStandInReadyPort = 8220;
+
+}  // namespace azuregw::fakes
+
+#endif  // TESTS_FAKES_PLATFORM_UPSTREAMS_H_
--- a/tests/fleet/fleet_test.cc
+++ b/tests/fleet/fleet_test.cc
@@ -139,7 +139,7 @@
   LoadLedger ledger;
   const LoadReport report = OwnLoad(first, numbers, 1, kNow + Milliseconds(400));
   BOOST_REQUIRE(report.suspects.size() == 1U);
-  BOOST_TEST(report.suspects[0].stopped);
+  BOOST_TEST((report.suspects[0].kind == SuspectKind::kStopped));
   BOOST_TEST((report.suspects[0].remaining == Milliseconds(600)));
   ledger.Add(1, report, kNow + Milliseconds(400));
   // It is as old at the holder as it is there.
@@ -157,13 +157,51 @@
 // Guards against an engine that one instance found stopped and another one merely suspects.
 BOOST_AUTO_TEST_CASE(stopped_outlasts_a_longer_suspicion) {
   LoadLedger ledger;
-  ledger.Add(1, {{}, {{5, 1, Milliseconds(900), false}}, {}}, kNow);
-  ledger.Add(2, {{}, {{5, 2, Milliseconds(500), true}}, {}}, kNow);
-  ledger.Add(3, {{}, {{5, 3, Milliseconds(300), false}}, {}}, kNow);
+  ledger.Add(1, {{}, {{5, 1, Milliseconds(900), SuspectKind::kFailing}}, {}}, kNow);
+  ledger.Add(2, {{}, {{5, 2, Milliseconds(500), SuspectKind::kStopped}}, {}}, kNow);
+  ledger.Add(3, {{}, {{5, 3, Milliseconds(300), SuspectKind::kFailing}}, {}}, kNow);
   const LoadReport totals = ledger.Totals(kNow);
   BOOST_REQUIRE(totals.suspects.size() == 2U);
   BOOST_TEST(totals.suspects[0].reporter == 1);
-  BOOST_TEST(totals.suspects[1].stopped);
+  BOOST_TEST((totals.suspects[1].kind == SuspectKind::kStopped));
+}
+
+// Guards against an engine that each instance has to find full by a refusal of its own.
+BOOST_AUTO_TEST_CASE(full_engines_are_known_to_all_and_not_taken_for_failing) {
+  Fleet first;
+  Fleet second;
+  first.Update({Plain("s1", "a")}, false, kNow);
+  second.Update({Plain("s1", "a")}, false, kNow);
+  UpstreamNumbers numbers;
+  numbers.Learn(5, "s1");
+  int findings = 0;
+  first.SetFindingListener([&findings] { ++findings; });
+  first.MarkFull("s1", Milliseconds(300), kNow);
+  first.MarkFull("s1", Milliseconds(300), kNow + Milliseconds(10));
+  BOOST_TEST(findings == 1);
+  const LoadReport report = OwnLoad(first, numbers, 1, kNow + Milliseconds(10));
+  ApplyTotals(report, {}, 2, numbers, &second, kNow + Milliseconds(10));
+  BOOST_TEST(!second.Find("s1")->Usable(kNow + Milliseconds(300)));
+  BOOST_TEST(second.Find("s1")->Usable(kNow + Milliseconds(311)));
+  BOOST_TEST((second.Find("s1")->suspect_until == TimePoint()));
+}
+
+// Guards against progress that is taken for newer with each report that repeats it.
+BOOST_AUTO_TEST_CASE(progress_elsewhere_is_as_old_as_it_is) {
+  Fleet first;
+  Fleet second;
+  first.Update({Plain("s1", "a")}, false, kNow);
+  second.Update({Plain("s1", "a")}, false, kNow);
+  UpstreamNumbers numbers;
+  numbers.Learn(5, "s1");
+  first.OnProgress("s1", kNow);
+  LoadLedger ledger;
+  ledger.Add(1, OwnLoad(first, numbers, 1, kNow + Milliseconds(100)), kNow + Milliseconds(100));
+  const TimePoint later = kNow + Milliseconds(400);
+  ApplyTotals(ledger.Totals(later), {}, 2, numbers, &second, later);
+  BOOST_TEST((second.Find("s1")->last_progress == kNow));
+  // What was learnt is not passed on.
+  BOOST_TEST(OwnLoad(second, numbers, 2, later).loads.empty());
 }
 
 // Guards against reservations that outlive their engine and close it for ever.
--- a/tests/forward/stream_exchange_test.cc
+++ b/tests/forward/stream_exchange_test.cc
@@ -230,6 +230,48 @@
   BOOST_TEST(f.client.calls.size() == 1U);
 }
 
+// Load pattern: a large fleet whose instances have one stream or two each, at engines that are
+// busy. Guards against working engines that are blamed for one silent stream and taken from the
+// whole fleet, which overloads the rest until everything is refused (swanlink grown scale-1).
+BOOST_AUTO_TEST_CASE(engines_that_work_for_other_instances_are_not_blamed_for_silence) {
+  GatewayFixture f;
+  const auto exchange = f.Start("/stream/1");
+  f.engines.report.stalled.clear();
+  for (int i = 0; i < 15; ++i) {
+    f.loop.Advance(Milliseconds(100));
+    for (const auto& [id, upstream] : f.fleet.All()) {
+      f.fleet.ProgressByReport(id, f.loop.Now() - Milliseconds(300));
+    }
+  }
+  BOOST_TEST(f.client.calls.size() == 2U);
+  for (const auto& [id, upstream] : f.fleet.All()) {
+    BOOST_TEST(upstream.Usable(f.loop.Now()), id << " is suspected");
+  }
+}
+
+// The same stream where one engine of its path is silent for the fleet: this one is blamed.
+BOOST_AUTO_TEST_CASE(engine_that_is_silent_for_all_instances_is_blamed) {
+  GatewayFixture f;
+  const auto exchange = f.Start("/stream/1");
+  std::string mute;
+  for (const auto& [id, upstream] : f.fleet.All()) {
+    if (upstream.own.requests > 0) {
+      mute = id;
+    }
+  }
+  for (int i = 0; i < 15; ++i) {
+    f.loop.Advance(Milliseconds(100));
+    for (const auto& [id, upstream] : f.fleet.All()) {
+      if (id != mute) {
+        f.fleet.ProgressByReport(id, f.loop.Now() - Milliseconds(300));
+      }
+    }
+  }
+  for (const auto& [id, upstream] : f.fleet.All()) {
+    BOOST_TEST(upstream.Usable(f.loop.Now()) == (id != mute), id);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(caller_who_leaves_frees_the_memory) {
   GatewayFixture f;
   auto exchange = f.Start("/stream/1");
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -135,6 +135,9 @@
   void Observe(std::string_view name, std::string_view labels, double) override {
     Add(name, labels, 1);
   }
+  void ObserveLatency(std::string_view name, std::string_view labels, double) override {
+    Add(name, labels, 1);
+  }
   std::string PrometheusText() const override { return ""; }
   double Value(const std::string& name) {
     const std::lock_guard<std::mutex> lock(mutex);
--- a/tests/metrics/metrics_test.cc
+++ b/tests/metrics/metrics_test.cc
@@ -64,6 +64,24 @@
   BOOST_TEST(ValueOf(text, "azuregw_ms_sum") == 3);
 }
 
+// Guards against buckets that are not cumulative, which no dashboard can add up.
+BOOST_AUTO_TEST_CASE(latencies_are_counted_in_cumulative_buckets) {
+  const auto metrics = MakeMetrics();
+  for (const double ms : {1.0, 120.0, 180.0, 40000.0}) {
+    metrics->ObserveLatency("azuregw_request_ms", "outcome=\"delivered\"", ms);
+  }
+  const std::string text = metrics->PrometheusText();
+  const std::string series = "azuregw_request_ms_bucket{outcome=\"delivered\",le=";
+  BOOST_TEST(ValueOf(text, series + "\"5\"}") == 1);
+  BOOST_TEST(ValueOf(text, series + "\"150\"}") == 2);
+  BOOST_TEST(ValueOf(text, series + "\"200\"}") == 3);
+  BOOST_TEST(ValueOf(text, series + "\"20000\"}") == 3);
+  BOOST_TEST(ValueOf(text, series + "\"+Inf\"}") == 4);
+  BOOST_TEST(ValueOf(text, "azuregw_request_ms_count{outcome=\"delivered\"}") == 4);
+  BOOST_TEST(ValueOf(text, "azuregw_request_ms_sum{outcome=\"delivered\"}") == 40301);
+  BOOST_TEST(text.find("# TYPE azuregw_request_ms histogram") != std::string::npos);
+}
+
 // Guards against lost updates between threads.
 BOOST_AUTO_TEST_CASE(threads_lose_no_counts) {
   constexpr int kThreads = 8;
--- a/tests/placement/duty_lease_test.cc
+++ b/tests/placement/duty_lease_test.cc
@@ -67,6 +67,61 @@
   BOOST_TEST(!f.first.Held());
 }
 
+// Guards against a fleet that knows no load for the whole time of a store's outage.
+BOOST_AUTO_TEST_CASE(last_holder_goes_on_until_there_is_another) {
+  Fixture f;
+  f.first.Start();
+  f.Run(1000);
+  BOOST_REQUIRE(f.first.Held());
+  f.store.m_down = true;
+  f.loop.Advance(DutyLease::kTtl + Milliseconds(1000));
+  BOOST_TEST(!f.first.Held());
+  BOOST_TEST(f.first.LastHolder());
+  f.store.m_down = false;
+  f.store.Put("duty", "second 10.0.0.2:1");
+  f.Run(2000);
+  BOOST_TEST(!f.first.LastHolder());
+}
+
+BOOST_AUTO_TEST_CASE(stopping_holder_does_not_go_on) {
+  Fixture f;
+  f.first.Start();
+  f.Run(1000);
+  f.first.Stop();
+  BOOST_TEST(!f.first.LastHolder());
+}
+
+// Guards against reads of the duty that grow with the fleet.
+BOOST_AUTO_TEST_CASE(instance_that_hears_the_holder_does_not_look) {
+  Fixture f;
+  f.first.Start();
+  f.Run(1000);
+  f.second.Start();
+  f.Run(2500);
+  BOOST_REQUIRE(f.first.Held());
+  const int before = f.store.m_calls;
+  for (int i = 0; i < 90; ++i) {
+    f.second.OnHolderHeard();
+    f.Run(100);
+  }
+  // The renewals of the holder alone.
+  BOOST_TEST(f.store.m_calls - before <= 9000 / DutyLease::kRenewInterval.count() + 1);
+  f.first.Stop();
+  f.Run(4000);
+  BOOST_TEST(f.second.Held());
+}
+
+// Guards against the smallest machine doing the work for a whole fleet.
+BOOST_AUTO_TEST_CASE(instance_with_little_processor_time_asks_later) {
+  Fixture f;
+  f.first.SetCpuShare(0.1);
+  f.second.SetCpuShare(0.5);
+  f.first.Start();
+  f.second.Start();
+  f.Run(2500);
+  BOOST_TEST(f.second.Held());
+}
+
 BOOST_AUTO_TEST_CASE(outage_ends_the_duty_before_the_lease) {
   Fixture f;
   f.first.Start();
--- /dev/null
+++ b/tests/soak/soak_run.cc
@@ -0,0 +1,548 @@
+// Assembly, faults, callers and judgement.
+
+#include "tests/soak/soak_run.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "azuregw/base/event_loop.h"
+#include "azuregw/base/random.h"
+#include "azuregw/net/endpoint.h"
+#include "azuregw/net/http_client.h"
+#include "tests/fakes/platform_store.h"
+#include "tests/fakes/platform_upstreams.h"
+#include "tests/soak/fault_link.h"
+#include "tests/support/process.h"
+
+namespace azuregw::soak {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using fakes::PlatformStore;
+using fakes::PlatformUpstream;
+using fakes::UpstreamTrouble;
+
+constexpr int kUpstreamsPerDomain = 4;  // Two engines of each kind.
+constexpr int kDomains = 2;
+constexpr Milliseconds kStartTime{4500};
+constexpr Milliseconds kCallInterval{25};
+constexpr Milliseconds kFaultInterval{700};
+// A caller's deadline, and how much later an answer of a process that runs may come.
+constexpr Milliseconds kDeadline{4000};
+constexpr Milliseconds kDeadlineSlack{1500};
+// The bound of the settings, and the time that the way of an answer may take on a busy machine.
+constexpr Milliseconds kKeyRemoval{5000};
+constexpr Milliseconds kKeySlack{500};
+constexpr int kFinalCalls = 40;
+
+struct Instance {
+  std::string name;
+  std::string ip;
+  std::string settings_path;
+  std::string log_path;
+  std::unique_ptr<FaultLink> store_link;
+  std::unique_ptr<testing::Process> process;
+  TimePoint paused_until;
+  TimePoint disturbed_until;  // Killed, stopped or paused: its callers may get no answer.
+  bool stopping = false;
+};
+
+enum class CallKind { kStream, kOrder, kLook };
+
+class SoakRun;
+
+// One request of a caller.
+class Caller final : public HttpCallHandler {
+ public:
+  Caller(SoakRun* run, CallKind kind, std::string id, std::string key, Instance* instance);
+
+  void Start();
+  bool OnHead(const HttpResponseHead& head) override;
+  void OnBody(std::string_view bytes) override { m_body.append(bytes); }
+  void OnDone() override;
+  void OnFailed(const HttpFailure& failure) override;
+
+ private:
+  void Judge();
+  void End(const std::string& outcome);
+
+  SoakRun* const m_run;
+  const CallKind m_kind;
+  const std::string m_id;
+  const std::string m_key;
+  Instance* const m_instance;
+  TimePoint m_sent;
+  int m_status = 0;
+  bool m_sealed = false;
+  std::string m_body;
+  std::shared_ptr<ClientCall> m_call;
+  std::unique_ptr<Timer> m_timer;
+};
+
+class SoakRun {
+ public:
+  explicit SoakRun(const SoakOptions& options)
+      : m_options(options), m_random(MakeRandom(options.seed)), m_loop(MakeEventLoop(&m_io)) {
+    m_client = MakeHttpClient(&m_io);
+    m_report.log_directory = testing::MakeTemporaryDirectory();
+    // Addresses of their own for each run, so that runs on one machine do not meet.
+    m_net = "127." + std::to_string(20 + m_random->Below(200)) + "." +
+            std::to_string(m_random->Below(250)) + ".";
+  }
+
+  SoakReport Run() {
+    if (!StartAll()) {
+      m_report.violations.push_back("the soak could not start");
+      return m_report;
+    }
+    Let(kStartTime);
+    Send();
+    const TimePoint end = m_loop->Now() + m_options.faults_for;
+    while (m_loop->Now() < end) {
+      Let(Milliseconds(static_cast<int64_t>(static_cast<double>(kFaultInterval.count()) *
+                                            (0.5 + m_random->Unit()))));
+      Fault();
+    }
+    EndFaults();
+    Let(m_options.recovery);
+    m_send_timer.reset();
+    Let(kDeadline + kDeadlineSlack);
+    Finish();
+    StopAll();
+    JudgeRuns();
+    return m_report;
+  }
+
+  // ---- For callers ----
+  TimePoint Now() const { return m_loop->Now(); }
+  HttpClient* Client() { return m_client.get(); }
+  EventLoop* Loop() { return m_loop.get(); }
+  void Violation(const std::string& text) {
+    if (m_report.violations.size() < 20) {
+      m_report.violations.push_back("+" + std::to_string(SinceStart()) + " ms: " + text);
+    }
+  }
+  void Count(const std::string& outcome, bool good) {
+    ++m_report.outcomes[outcome];
+    m_good += good ? 1 : 0;
+  }
+  int Runs(const std::string& id) const {
+    const auto found = m_journal.runs.find(id);
+    return found == m_journal.runs.end() ? 0 : found->second;
+  }
+  // A promise that the order has not run, to be checked again at the end.
+  void Promised(const std::string& id) { m_promised.insert(id); }
+  // Whether `key` may no longer be honoured at `when`.
+  bool Revoked(const std::string& key, TimePoint when) const {
+    const auto found = m_revoked.find(key);
+    return found != m_revoked.end() && when > found->second + kKeyRemoval + kKeySlack;
+  }
+
+ private:
+  int64_t SinceStart() const {
+    return std::chrono::duration_cast<Milliseconds>(m_loop->Now() - m_started).count();
+  }
+  void Let(Milliseconds time) { m_io.run_for(time); }
+  tcp::endpoint Address(int group, int number, uint16_t port) const {
+    // Groups share the last byte of the address.
+    return tcp::endpoint(asio::ip::make_address(m_net + std::to_string(group * 40 + number + 1)),
+                         port);
+  }
+
+  bool StartAll() {
+    m_store = std::make_unique<PlatformStore>(m_loop.get());
+    const tcp::endpoint store_address = Address(0, 0, 8223);
+    m_store_server = fakes::MakeStandInServer(
+        &m_io, store_address,
+        [this](const fakes::StandInRequest& request, std::shared_ptr<fakes::StandInReply> reply) {
+          m_store->Handle(request, std::move(reply));
+        });
+    if (m_store_server == nullptr) {
+      return false;
+    }
+    for (int i = 0; i < kUpstreamsPerDomain * kDomains + 2; ++i) {
+      fakes::UpstreamSpec spec;
+      spec.id = "u" + std::to_string(i);
+      spec.failure_domain = i % kDomains == 0 ? "a" : "b";
+      spec.address = Address(1, i, 8201);
+      const bool engine = i < kUpstreamsPerDomain * kDomains;
+      spec.service = engine ? "model" : "orders";
+      spec.accelerator = !engine ? "" : i % 4 < 2 ? "fast" : "slow";
+      auto upstream = std::make_unique<PlatformUpstream>(&m_io, m_loop.get(), m_store.get(),
+                                                         &m_peers, &m_journal, std::move(spec));
+      m_peers[upstream->Address()] = upstream.get();
+      if (!upstream->Start()) {
+        return false;
+      }
+      m_upstreams.push_back(std::move(upstream));
+    }
+    m_keys = {"key-0"};
+    WriteConfig();
+    for (int i = 0; i < m_options.instances; ++i) {
+      auto instance = std::make_unique<Instance>();
+      instance->name = "gw-" + std::to_string(i);
+      instance->ip = Address(2, i, 0).address().to_string();
+      instance->settings_path = m_report.log_directory + "/" + instance->name + ".toml";
+      instance->log_path = m_report.log_directory + "/" + instance->name + ".log";
+      const tcp::endpoint link = Address(3, i, 8223);
+      instance->store_link = MakeFaultLink(&m_io, m_loop.get(), link, store_address);
+      if (instance->store_link == nullptr) {
+        return false;
+      }
+      std::ofstream(instance->settings_path) << fakes::PlatformSettings(
+          instance->name, i % 2 == 0 ? "a" : "b", instance->ip, EndpointText(link));
+      m_instances.push_back(std::move(instance));
+      StartInstance(m_instances.back().get());
+    }
+    return true;
+  }
+
+  void StartInstance(Instance* instance) {
+    setenv("AZUREGW_NODE_FILE", instance->settings_path.c_str(), 1);
+    instance->process = testing::Process::Start({AZUREGW_BINARY, "gateway"}, instance->log_path);
+    instance->stopping = false;
+    instance->paused_until = TimePoint();
+  }
+
+  void WriteConfig() { m_store->Put("op/config", fakes::PlatformConfig(++m_version, m_keys)); }
+
+  void Send() {
+    m_send_timer = m_loop->After(kCallInterval, [this] {
+      Call();
+      Send();
+    });
+  }
+  void Call() {
+    Instance* const instance = m_instances[m_random->Below(m_instances.size())].get();
+    const uint64_t draw = m_random->Below(10);
+    const CallKind kind = draw < 5   ? CallKind::kStream
+                          : draw < 8 ? CallKind::kOrder
+                                     : CallKind::kLook;
+    // Some callers go on with a key that was removed.
+    const bool old_key = !m_finishing && !m_revoked.empty() && m_random->Below(8) == 0;
+    const std::string key = old_key ? m_revoked.begin()->first : m_keys.back();
+    auto caller =
+        std::make_unique<Caller>(this, kind, "r" + std::to_string(m_next_id++), key, instance);
+    caller->Start();
+    m_callers.push_back(std::move(caller));
+  }
+
+  // ---- Faults ----
+
+  void Fault() {
+    Instance* const instance = m_instances[m_random->Below(m_instances.size())].get();
+    PlatformUpstream* const upstream = m_upstreams[m_random->Below(m_upstreams.size())].get();
+    const Milliseconds time(200 + static_cast<int64_t>(m_random->Below(2300)));
+    switch (m_random->Below(11)) {
+      case 0:
+        Note("kill " + instance->name);
+        Kill(instance);
+        Later(time, [this, instance] { Restart(instance); });
+        break;
+      case 1:
+        Note("pause " + instance->name + " " + std::to_string(time.count()) + " ms");
+        Disturb(instance, time);
+        instance->process->Stop();
+        instance->paused_until = m_loop->Now() + time;
+        Later(time, [instance] { instance->process->Continue(); });
+        break;
+      case 2:
+        Note("stop " + instance->name);
+        StopGracefully(instance);
+        break;
+      case 3:
+        Note("crash " + upstream->Spec().id);
+        upstream->Crash();
+        Later(time, [upstream] { upstream->Start(); });
+        break;
+      case 4: {
+        constexpr UpstreamTrouble kTroubles[] = {UpstreamTrouble::kMute, UpstreamTrouble::kRefuses,
+                                                 UpstreamTrouble::kCuts, UpstreamTrouble::kGarbles};
+        const size_t which = m_random->Below(4);
+        Note("upstream trouble " + std::to_string(which) + " at " + upstream->Spec().id);
+        upstream->SetTrouble(kTroubles[which]);
+        Later(time, [upstream] { upstream->SetTrouble(UpstreamTrouble::kNone); });
+        break;
+      }
+      case 5:
+        Note("leaving " + upstream->Spec().id);
+        upstream->Leave(Milliseconds(3500));
+        Later(Milliseconds(3500) + time, [upstream] { upstream->Start(); });
+        break;
+      case 6: {
+        constexpr PlatformStore::Trouble kTroubles[] = {
+            PlatformStore::Trouble::kRefuses, PlatformStore::Trouble::kSilent,
+            PlatformStore::Trouble::kLosesAnswers, PlatformStore::Trouble::kSlow,
+            PlatformStore::Trouble::kForgetsHistory};
+        const size_t which = m_random->Below(5);
+        Note("store trouble " + std::to_string(which));
+        m_store->SetTrouble(kTroubles[which]);
+        Later(time, [this] { m_store->SetTrouble(PlatformStore::Trouble::kNone); });
+        break;
+      }
+      case 7:
+      case 8: {
+        constexpr FaultLink::Trouble kTroubles[] = {
+            FaultLink::Trouble::kSilent, FaultLink::Trouble::kSilentAnswer,
+            FaultLink::Trouble::kDelay, FaultLink::Trouble::kReset};
+        const size_t which = m_random->Below(4);
+        Note("link trouble " + std::to_string(which) + " at " + instance->name);
+        instance->store_link->SetTrouble(kTroubles[which]);
+        Later(time, [instance] { instance->store_link->SetTrouble(FaultLink::Trouble::kNone); });
+        break;
+      }
+      case 9:
+        Note("key removed");
+        m_revoked[m_keys.front()] = m_loop->Now();
+        m_keys = {"key-" + std::to_string(m_version)};
+        WriteConfig();
+        break;
+      default:
+        Note("kill all");
+        for (const auto& each : m_instances) {
+          Kill(each.get());
+          Later(Milliseconds(300), [this, one = each.get()] { Restart(one); });
+        }
+    }
+  }
+
+  void EndFaults() {
+    Note("end of faults");
+    m_later.clear();
+    m_store->SetTrouble(PlatformStore::Trouble::kNone);
+    for (const auto& upstream : m_upstreams) {
+      upstream->SetTrouble(UpstreamTrouble::kNone);
+      upstream->Crash();
+      upstream->Start();
+    }
+    for (const auto& instance : m_instances) {
+      instance->store_link->SetTrouble(FaultLink::Trouble::kNone);
+      if (instance->process) {
+        instance->process->Continue();
+      }
+      Restart(instance.get());
+    }
+  }
+
+  void Note(const std::string& fault) {
+    m_report.faults.push_back("+" + std::to_string(SinceStart()) + " ms " + fault);
+  }
+  void Later(Milliseconds delay, std::function<void()> action) {
+    m_later.push_back(m_loop->After(delay, std::move(action)));
+  }
+  void Disturb(Instance* instance, Milliseconds time) {
+    instance->disturbed_until = std::max(instance->disturbed_until, m_loop->Now() + time);
+  }
+  void Kill(Instance* instance) {
+    Disturb(instance, Milliseconds(100));
+    if (instance->process) {
+      instance->process->Kill();
+      instance->process.reset();
+    }
+  }
+  // Starts an instance that does not run.
+  void Restart(Instance* instance) {
+    if (instance->process == nullptr || instance->process->Wait(Milliseconds(0))) {
+      StartInstance(instance);
+    }
+  }
+  void StopGracefully(Instance* instance) {
+    if (instance->process == nullptr || instance->stopping) {
+      return;
+    }
+    instance->stopping = true;
+    instance->process->Signal(SIGTERM);
+    const TimePoint asked = m_loop->Now();
+    PollStop(instance, asked);
+  }
+  void PollStop(Instance* instance, TimePoint asked) {
+    Later(Milliseconds(50), [this, instance, asked] {
+      if (instance->process == nullptr || !instance->stopping) {
+        return;  // Killed meanwhile.
+      }
+      if (const auto code = instance->process->Wait(Milliseconds(0))) {
+        if (*code != 0) {
+          Violation(instance->name + " ended with " + std::to_string(*code) + " after SIGTERM");
+        }
+        instance->process.reset();
+        StartInstance(instance);
+        return;
+      }
+      const bool paused = instance->paused_until + Milliseconds(1000) > m_loop->Now();
+      if (!paused && m_loop->Now() - asked > Milliseconds(8000)) {
+        Violation(instance->name + " has not ended 8 s after SIGTERM");
+        return;
+      }
+      PollStop(instance, asked);
+    });
+  }
+
+  // ---- Judgement ----
+
+  void Finish() {
+    m_good = 0;
+    m_finishing = true;
+    for (int i = 0; i < kFinalCalls; ++i) {
+      Call();
+      Let(kCallInterval);
+    }
+    Let(kDeadline);
+    m_report.asked_at_end = kFinalCalls;
+    m_report.served_at_end = m_good;
+  }
+
+  void StopAll() {
+    for (const auto& instance : m_instances) {
+      if (instance->process == nullptr) {
+        continue;
+      }
+      instance->process->Signal(SIGTERM);
+    }
+    Let(Milliseconds(4000));
+    for (const auto& instance : m_instances) {
+      if (instance->process == nullptr) {
+        continue;
+      }
+      const auto code = instance->process->Wait(Milliseconds(5000));
+      if (!code || *code != 0) {
+        Violation(instance->name + " did not stop by itself with 0");
+      }
+      instance->process.reset();
+    }
+  }
+
+  void JudgeRuns() {
+    for (const std::string& id : m_promised) {
+      if (Runs(id) > 0) {
+        Violation(id + " was said not to have run, but it had");
+      }
+    }
+    for (const auto& upstream : m_upstreams) {
+      if (upstream->LateWork() > 0) {
+        Violation(upstream->Spec().id + " got work after it had said that it leaves");
+      }
+    }
+  }
+
+  const SoakOptions m_options;
+  SoakReport m_report;
+  asio::io_context m_io{1};
+  const std::unique_ptr<Random> m_random;
+  const std::unique_ptr<EventLoop> m_loop;
+  const TimePoint m_started = m_loop->Now();
+  std::unique_ptr<HttpClient> m_client;
+  std::string m_net;
+  std::unique_ptr<PlatformStore> m_store;
+  std::unique_ptr<fakes::StandInServer> m_store_server;
+  PlatformUpstream::Peers m_peers;
+  fakes::RunJournal m_journal;
+  std::vector<std::unique_ptr<PlatformUpstream>> m_upstreams;
+  std::vector<std::unique_ptr<Instance>> m_instances;
+  std::vector<std::unique_ptr<Caller>> m_callers;
+  std::vector<std::unique_ptr<Timer>> m_later;
+  std::unique_ptr<Timer> m_send_timer;
+  std::vector<std::string> m_keys;
+  std::map<std::string, TimePoint> m_revoked;
+  std::set<std::string> m_promised;
+  uint64_t m_version = 0;
+  int m_next_id = 0;
+  int m_good = 0;
+  bool m_finishing = false;  // All calls must be served.
+};
+
+Caller::Caller(SoakRun* run, CallKind kind, std::string id, std::string key, Instance* instance)
+    : m_run(run), m_kind(kind), m_id(std::move(id)), m_key(std::move(key)), m_instance(instance) {}
+
+void Caller::Start() {
+  HttpRequest request;
+  request.method(http::verb::post);
+  request.target(m_kind == CallKind::kStream  ? "/model/x"
+                 : m_kind == CallKind::kOrder ? "/order/x"
+                                              : "/look/x");
+  request.set(http::field::host, "soak.example");
+  request.set("X-Request-Id", m_id);
+  request.set("Api-Key", m_key);
+  request.set("X-Deadline-Ms", std::to_string(kDeadline.count()));
+  request.set("X-Token-Usage", "100," + std::to_string(fakes::kStreamEvents));
+  request.body() = "body of " + m_id;
+  request.prepare_payload();
+  HttpCallOptions options;
+  options.endpoint =
+      tcp::endpoint(asio::ip::make_address(m_instance->ip), fakes::kStandInCallerPort);
+  m_sent = m_run->Now();
+  m_call = m_run->Client()->Start(options, std::move(request), this);
+  m_timer = m_run->Loop()->After(kDeadline + kDeadlineSlack, [this] {
+    m_call->Cancel();
+    if (m_instance->disturbed_until + kDeadlineSlack < m_sent && m_instance->process != nullptr &&
+        m_instance->paused_until < m_sent) {
+      m_run->Violation(m_id + " got no answer from " + m_instance->name + ", which runs");
+    }
+    End("no answer");
+  });
+}
+
+bool Caller::OnHead(const HttpResponseHead& head) {
+  const auto id = head["X-Request-Id"];
+  if (!id.empty() && std::string(id.data(), id.size()) != m_id) {
+    m_run->Violation(m_id + " got the answer of another request");
+  }
+  m_status = static_cast<int>(head.result_int());
+  m_sealed = head.count("X-Response-Seal") > 0;
+  return true;
+}
+
+void Caller::OnDone() { Judge(); }
+
+void Caller::OnFailed(const HttpFailure& /*failure*/) {
+  // Broken off, or never answered; this promises nothing.
+  End(m_status == 0 ? "connection failed" : "broken off");
+}
+
+void Caller::Judge() {
+  if (m_status == 200) {
+    std::string whole = "done body of " + m_id;
+    if (m_kind == CallKind::kStream) {
+      whole.clear();
+      for (int i = 1; i <= fakes::kStreamEvents; ++i) {
+        whole += "id: " + std::to_string(i) + "\ndata: " + fakes::EventData("body of " + m_id, i) +
+                 "\n\n";
+      }
+    }
+    if (m_body != whole || !m_sealed) {
+      m_run->Violation(
+          m_id + " got a complete answer that is not its own whole one: " + m_body.substr(0, 200));
+    }
+    if (m_run->Revoked(m_key, m_sent)) {
+      m_run->Violation(m_id + " was served with " + m_key + ", which was removed long before");
+    }
+  }
+  if (m_kind == CallKind::kOrder && m_run->Runs(m_id) > 1) {
+    m_run->Violation(m_id + ", an order, ran " + std::to_string(m_run->Runs(m_id)) + " times");
+  }
+  if (m_status == 503 || m_status == 429 || m_status == 408 || m_status == 421) {
+    if (m_run->Runs(m_id) > 0) {
+      m_run->Violation(m_id + " was said not to have run, but it has");
+    }
+    m_run->Promised(m_id);
+  }
+  End(std::to_string(m_status));
+}
+
+void Caller::End(const std::string& outcome) {
+  m_timer.reset();
+  m_run->Count(outcome, outcome == "200");
+}
+
+}  // namespace
+
+SoakReport RunSoak(const SoakOptions& options) { return SoakRun(options).Run(); }
+
+}  // namespace azuregw::soak
--- /dev/null
+++ b/tests/soak/soak_run.h
@@ -0,0 +1,38 @@
+// One soak: instances of azuregw as processes, stand-ins for the store and the upstreams, callers
+// that send all the time, and a series of faults drawn from a seed. It judges the promises from
+// what callers and upstreams see.
+
+#ifndef TESTS_SOAK_SOAK_RUN_H_
+#define TESTS_SOAK_SOAK_RUN_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "azuregw/base/clock.h"
+
+namespace azuregw::soak {
+
+struct SoakOptions {
+  uint64_t seed = 1;
+  int instances = 4;
+  Milliseconds faults_for{8000};
+  // Time from the last fault until everything must be served again.
+  Milliseconds recovery{8000};
+};
+
+struct SoakReport {
+  std::vector<std::string> violations;  // Each with the request id or the process.
+  std::map<std::string, int> outcomes;  // Of the callers' requests.
+  std::vector<std::string> faults;      // With their times.
+  int served_at_end = 0;                // Of asked_at_end requests after the recovery.
+  int asked_at_end = 0;
+  std::string log_directory;  // Logs of the instances.
+};
+
+SoakReport RunSoak(const SoakOptions& options);
+
+}  // namespace azuregw::soak
+
+#endif  // TESTS_SOAK_SOAK_RUN_H_
--- /dev/null
+++ b/tests/soak/soak_test.cc
@@ -0,0 +1,69 @@
+// Faults in overlapping series against real instances.
+//
+// AZUREGW_SOAK_SEEDS=FIRST-LAST plays these seeds instead of the few of CI, AZUREGW_SOAK_MS sets
+// how long each has faults, AZUREGW_SOAK_INSTANCES how many instances run.
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <string>
+
+#include "tests/soak/soak_run.h"
+
+namespace azuregw::soak {
+namespace {
+
+int64_t FromEnvironment(const char* name, int64_t fallback) {
+  const char* const text = std::getenv(name);
+  return text == nullptr ? fallback : std::strtoll(text, nullptr, 10);
+}
+
+void Play(uint64_t seed) {
+  SoakOptions options;
+  options.seed = seed;
+  options.instances = static_cast<int>(FromEnvironment("AZUREGW_SOAK_INSTANCES", 4));
+  options.faults_for = Milliseconds(FromEnvironment("AZUREGW_SOAK_MS", 8000));
+  const SoakReport report = RunSoak(options);
+  std::string story = "seed " + std::to_string(seed) + ":";
+  for (const auto& [outcome, count] : report.outcomes) {
+    story += " " + outcome + " x " + std::to_string(count) + ",";
+  }
+  story += " at the end " + std::to_string(report.served_at_end) + " of " +
+           std::to_string(report.asked_at_end);
+  BOOST_TEST_MESSAGE(story);
+  const bool good = report.violations.empty() && report.served_at_end == report.asked_at_end;
+  if (!good) {
+    story += "; logs in " + report.log_directory;
+    for (const std::string& fault : report.faults) {
+      story += "\n  " + fault;
+    }
+  }
+  for (const std::string& violation : report.violations) {
+    BOOST_ERROR("seed " << seed << ": " << violation);
+  }
+  BOOST_TEST(report.served_at_end == report.asked_at_end, story);
+  BOOST_TEST(good, story);
+  // A soak in which nothing is served proves nothing.
+  BOOST_TEST(report.outcomes.count("200") > 0);
+}
+
+BOOST_AUTO_TEST_SUITE(soak)
+
+// Guards against promises that hold for single faults only.
+BOOST_AUTO_TEST_CASE(promises_hold_under_overlapping_faults) {
+  uint64_t first = 1;
+  uint64_t last = 2;
+  if (const char* const range = std::getenv("AZUREGW_SOAK_SEEDS")) {
+    char* rest = nullptr;
+    first = std::strtoull(range, &rest, 10);
+    last = *rest == '-' ? std::strtoull(rest + 1, nullptr, 10) : first;
+  }
+  for (uint64_t seed = first; seed <= last; ++seed) {
+    Play(seed);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace azuregw::soak
--- a/tests/sync/config_watcher_test.cc
+++ b/tests/sync/config_watcher_test.cc
@@ -21,9 +21,11 @@
   FakeLog log;
   TextCodec codec;
   RouteTable table{Milliseconds(3500)};
-  ConfigWatcher watcher{&loop, &store, &codec, &table, &log};
+  std::unique_ptr<Random> random = MakeRandom(7);
+  StoreRetry retry{random.get()};
+  ConfigWatcher watcher{&loop, &store, &codec, &table, &retry, &log};
   Fleet fleet;
-  UpstreamLister lister{&loop, &store, &codec, &fleet, &log};
+  UpstreamLister lister{&loop, &store, &codec, &fleet, &retry, &log};
 };
 
 BOOST_AUTO_TEST_SUITE(config_watcher)
@@ -152,6 +154,26 @@
   BOOST_TEST(f.fleet.All().size() == 1U);
 }
 
+// Load pattern: all instances of a large fleet lose the store at once. Guards against retries that
+// grow with the fleet (swanlink grown scale-1: 4,500 calls in six seconds from 77 instances).
+BOOST_AUTO_TEST_CASE(retries_of_a_large_fleet_stay_few) {
+  Fixture f;
+  f.store.Put("config", "3");
+  f.watcher.Start();
+  f.lister.Start();
+  f.loop.Advance(Milliseconds(2000));
+  f.retry.SetInstances(100);
+  f.store.m_down = true;
+  const int before = f.store.m_calls;
+  f.loop.Advance(Milliseconds(10000));
+  const int calls = f.store.m_calls - before;
+  BOOST_TEST(calls <= 28);
+  BOOST_TEST(calls >= 10);
+  f.store.m_down = false;
+  f.loop.Advance(Milliseconds(2600));
+  BOOST_TEST((*f.table.Age(f.loop.Now()) < Milliseconds(1600)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/sync/state_sides_test.cc
+++ b/tests/sync/state_sides_test.cc
@@ -18,13 +18,15 @@
 // One instance; all share the clock and the store.
 struct Instance {
   Instance(FakeLoop* loop, FakeAsyncStore* store)
-      : watcher(loop, store, &codec, &table, &log),
-        lister(loop, store, &codec, &fleet, &log),
+      : watcher(loop, store, &codec, &table, &retry, &log),
+        lister(loop, store, &codec, &fleet, &retry, &log),
         state{loop, &fleet, &watcher, &lister} {}
 
   FakeLog log;
   TextCodec codec;
   RouteTable table{Milliseconds(3500)};
+  std::unique_ptr<Random> random = MakeRandom(7);
+  StoreRetry retry{random.get()};
   Fleet fleet;
   ConfigWatcher watcher;
   UpstreamLister lister;
@@ -45,7 +47,7 @@
   void Talk() {
     BOOST_REQUIRE(holding.TakeList());
     holding.OnReport(reporting.NextReport(), &link);
-    reporting.OnNews(holding.NewsFor(&link));
+    reporting.OnNews(holding.NewsFor(&link, true));
     reporting.OnTotals(holding.Totals());
   }
   void TalkFor(Milliseconds time) {
@@ -107,7 +109,7 @@
   f.Talk();
   f.loop.Advance(Milliseconds(600));
   f.holding.OnReport(f.reporting.NextReport(), &f.link);
-  const HolderNews news = f.holding.NewsFor(&f.link);
+  const HolderNews news = f.holding.NewsFor(&f.link, true);
   BOOST_REQUIRE(news.config.has_value());
   BOOST_TEST(news.config->document.empty());
   BOOST_TEST(news.list.changed.empty());
@@ -120,7 +122,7 @@
   Fixture f;
   f.Talk();
   f.holding.OnReport(f.reporting.NextReport(), &f.link);
-  const HolderNews news = f.holding.NewsFor(&f.link);
+  const HolderNews news = f.holding.NewsFor(&f.link, true);
   f.loop.Advance(Milliseconds(4000));
   f.reporting.OnNews(news);
   BOOST_TEST((*f.other.table.Age(f.loop.Now()) >= Milliseconds(4000)));
@@ -196,18 +198,26 @@
   f.other.fleet.Reserve("e1", 300);
   f.loop.Advance(Milliseconds(1));
   const InstanceReport late = f.reporting.NextReport();
-  f.reporting.OnNews(f.holding.NewsFor(&f.link));
+  f.reporting.OnNews(f.holding.NewsFor(&f.link, true));
   f.reporting.OnTotals(f.holding.Totals());
   BOOST_TEST(f.other.fleet.Find("e1")->others.token_layers == 200);
   BOOST_TEST(f.other.fleet.Find("e1")->own.token_layers == 800);
 }
 
+// Guards against an instance that trusts a last holder and never looks for the next one.
+BOOST_AUTO_TEST_CASE(news_tell_whether_the_duty_is_held) {
+  Fixture f;
+  f.holding.OnReport(f.reporting.NextReport(), &f.link);
+  BOOST_TEST(f.holding.NewsFor(&f.link, true).held);
+  BOOST_TEST(!f.holding.NewsFor(&f.link, false).held);
+}
+
 // Guards against messages that change on their way.
 BOOST_AUTO_TEST_CASE(messages_survive_encoding) {
   Fixture f;
   f.holding.TakeList();
   f.holding.OnReport(f.reporting.NextReport(), &f.link);
-  const HolderNews news = f.holding.NewsFor(&f.link);
+  const HolderNews news = f.holding.NewsFor(&f.link, true);
   const SharedFrame frame = EncodeSync(news);
   const auto decoded =
       DecodeSync({frame->data() + kFrameHeaderBytes, frame->size() - kFrameHeaderBytes});
@@ -222,7 +232,9 @@
   BOOST_TEST((copy.list.changed[0].record == news.list.changed[0].record));
   HolderTotals totals;
   totals.instances = 9;
-  totals.load = {{{7, {1500, 2}, Milliseconds(40)}}, {{7, 1, Milliseconds(300), true}}, {{7, 2, Milliseconds(9), 3}}};
+  totals.load = {{{7, {1500, 2}, Milliseconds(40)}},
+                 {{7, 1, Milliseconds(300), SuspectKind::kStopped}},
+                 {{7, 2, Milliseconds(9), 3}}};
   const SharedFrame second = EncodeSync(totals);
   const auto decoded_totals =
       DecodeSync({second->data() + kFrameHeaderBytes, second->size() - kFrameHeaderBytes});
@@ -231,7 +243,7 @@
   BOOST_TEST(load.loads[0].load.token_layers == 1500);
   BOOST_TEST(load.loads[0].load.requests == 2);
   BOOST_TEST((load.loads[0].idle == Milliseconds(40)));
-  BOOST_TEST(load.suspects[0].stopped);
+  BOOST_TEST((load.suspects[0].kind == SuspectKind::kStopped));
   BOOST_TEST((load.suspects[0].remaining == Milliseconds(300)));
   BOOST_TEST(load.paces[0].pace == 3);
   const std::string foreign = "not a message at all";
