Prefer larger instances for the duty, suspect engines by what they do, spread blind choices

Change: instances know the largest share of a core and wait for it; the holder says how often it wants reports; an instance takes over the duty under its own name and address; a status of 500 or above is a suspicion, which doubles with each relapse within 3 s; choices are spread by the number of instances and widely while no load is known; the bound for leaving upstreams comes from the settings.

Child processes of tests no longer inherit sockets: instances of an aborted soak kept its listeners, and connections that the harness had closed stayed open.

--- a/include/azuregw/fleet/fleet.h
+++ b/include/azuregw/fleet/fleet.h
@@ -71,6 +71,7 @@
   TimePoint full_until;
   TimePoint own_full_until;
   int failures = 0;       // Consecutive failures of calls.
+  int suspicions = 0;     // In a row, each soon after the end of the one before.
   int reported_load = 0;  // Running and waiting requests by its own account.
   TimePoint reported_at;
   double slowdown = 1;           // Factor on the time of its work, by its own account.
@@ -95,6 +96,11 @@
   // The platform promises that live upstreams are listed again within about 2 s.
   static constexpr Milliseconds kRelistGrace{2000};
 
+  // A suspicion that begins this soon after the end of the last one lasts twice as long, so that
+  // upstreams that fail by turns, or look healthy and are not, return step by step.
+  static constexpr Milliseconds kRelapse{3000};
+  static constexpr int kMostDoublings = 2;
+
   // How long an engine's account of its pace is used; it is some hundred ms old when it comes.
   static constexpr Milliseconds kPaceLife{1500};
 
@@ -106,7 +112,7 @@
   // Whether entries that vanished in an outage are kept; only Update() removes them.
   bool KeepsMissing() const { return !m_missing.empty(); }
 
-  // `id` gets no new work for `duration`. Returns whether this is news.
+  // `id` gets no new work for `duration`, or longer after a relapse. Returns whether this is news.
   bool Suspect(const std::string& id, Milliseconds duration, TimePoint now);
   // The same for an engine that does not answer; its streams are to be moved.
   void MarkStopped(const std::string& id, Milliseconds duration, TimePoint now);
@@ -128,6 +134,9 @@
   void PaceByReport(const std::string& id, double pace, Milliseconds remaining, TimePoint now);
   void OnReportedLoad(const std::string& id, int load, TimePoint now);
 
+  // How long a suspicion lasts that would last `duration` the first time.
+  Milliseconds SuspicionTime(const Upstream& upstream, Milliseconds duration, TimePoint now) const;
+
   Upstream* Find(const std::string& id);
   const Upstream* Find(const std::string& id) const;
   // The id of the upstream that is listed under an address; null when there is none.
--- a/include/azuregw/fleet/path_selector.h
+++ b/include/azuregw/fleet/path_selector.h
@@ -70,6 +70,11 @@
   Random* const m_random;
 };
 
+// The spread for a choice that others make at the same time with the same view of the load. It
+// answers the load pattern of a large fleet whose instances all see the same engine as the best one
+// until the next report: some 100 streams in a quarter of a second, half of an engine's memory.
+double ChoiceSpread(int instances, bool load_known);
+
 // KV memory in use at an upstream as a share of `capacity_token_layers`.
 double MemoryLoad(const Upstream& upstream, double added, double capacity_token_layers,
                   int assumed_instances);
--- a/include/azuregw/forward/exchange.h
+++ b/include/azuregw/forward/exchange.h
@@ -43,6 +43,8 @@
   GatewaySettings settings;
   // As in PathQuery.
   int assumed_instances = 1;
+  // Instances that serve callers, as last known.
+  int instances = 1;
   std::optional<TimePoint> stopping_since;
 };
 
--- a/include/azuregw/forward/gateway_settings.h
+++ b/include/azuregw/forward/gateway_settings.h
@@ -24,6 +24,8 @@
   Milliseconds stop_grace{8000};
   // Keys may be honoured at most this long after their removal; 0: no bound.
   Milliseconds key_removal_bound{0};
+  // Upstreams that are leaving must get no new work this long after the store knows it.
+  Milliseconds leaving_bound{2000};
   // Shared by all instances: repeats per service may reach this share of its requests, and this
   // number more, in any window of this length.
   double repeat_share = 0.1;
--- a/include/azuregw/placement/duty_lease.h
+++ b/include/azuregw/placement/duty_lease.h
@@ -1,8 +1,10 @@
 // A duty that one instance has at a time, held by a lease in the store.
 //
 // The holder's fencing token is the revision of the key that it created, so that a later holder's
-// token is always higher. A holder that cannot renew in time stops by itself before the store ends
-// the lease, also after the machine was suspended.
+// token is always higher. An instance that finds the duty under its own name and address, which a
+// former process of it left, takes it over without waiting for the end of the lease. A holder that
+// cannot renew in time stops by itself before the store ends the lease, also after the machine was
+// suspended.
 
 #ifndef AZUREGW_PLACEMENT_DUTY_LEASE_H_
 #define AZUREGW_PLACEMENT_DUTY_LEASE_H_
@@ -29,9 +31,11 @@
   // Instances that see the duty free ask for it after a random share of this.
   static constexpr Milliseconds kAcquireSpread{400};
   // The holder reads the store for all and talks to all, so instances with little processor time
-  // wait up to this much longer.
-  static constexpr Milliseconds kSmallInstanceDelay{600};
-  // From this share of a core on, an instance does not wait.
+  // wait up to this much longer: until all others have looked, too.
+  static constexpr Milliseconds kSmallInstanceDelay{1400};
+  // The same while an instance does not know the others; those that start together look together.
+  static constexpr Milliseconds kUnknownFleetDelay{600};
+  // The processor time that is ample, in cores, while the others are not known.
   static constexpr double kAmpleCpuShare = 0.5;
   // Stops this long before the lease can end in the store.
   static constexpr Milliseconds kStopMargin{400};
@@ -48,7 +52,8 @@
         m_value(std::move(value)) {}
 
   void Start();
-  void SetCpuShare(double share);
+  // Processor time of this instance and, once known, the most of any instance, in cores.
+  void SetCpuShares(double own, std::optional<double> most);
   // The holder was heard, so there is no need to look whether the duty is free.
   void OnHolderHeard() { m_holder_heard = m_loop->Now(); }
   // The connection to the holder was lost.
@@ -68,7 +73,9 @@
  private:
   void Look();
   void Acquire();
-  void Create(uint64_t lease, TimePoint granted);
+  // `replaced`: revision of the key that this one replaces; 0: there must be none.
+  void Grant(uint64_t replaced);
+  void Create(uint64_t lease, uint64_t replaced, TimePoint granted);
   void Become(uint64_t lease, uint64_t token, TimePoint granted);
   void Renew();
   void Lose(const std::string& reason);
--- a/include/azuregw/sync/state_exchange.h
+++ b/include/azuregw/sync/state_exchange.h
@@ -32,9 +32,6 @@
   virtual std::optional<int> Instances() const = 0;
 };
 
-// Time between two reports of an instance, and between two totals of the holder.
-Milliseconds ReportInterval(int instances);
-
 // What is exchanged. All members outlive the exchange.
 struct StateExchangeParts {
   DutyLease* duty = nullptr;
--- a/include/azuregw/sync/upstream_lister.h
+++ b/include/azuregw/sync/upstream_lister.h
@@ -28,12 +28,13 @@
 
 class UpstreamLister {
  public:
-  // Engines that are leaving must get no work later than 2 s after the store knows it.
-  static constexpr Milliseconds kInterval{900};
+  // Time between two lists, as a share of the bound within which leaving upstreams must be known.
+  static constexpr double kIntervalShare = 0.45;
   // The same while other instances depend on it: the way to them adds to the age.
   static constexpr Milliseconds kRelayingInterval{500};
-  // A list through another instance makes calls of this one's own needless while it is younger.
-  static constexpr Milliseconds kRelayTrust{1500};
+  // A list through another instance makes calls of this one's own needless until this long before
+  // the bound: a slow store needs 400 ms for an answer.
+  static constexpr Milliseconds kRelayMargin{500};
   static constexpr Milliseconds kRelayCheck{100};
   // Without contact for longer, upstreams may have lapsed while the store was away.
   static constexpr Milliseconds kOutage{1800};
@@ -43,6 +44,7 @@
       : m_loop(loop), m_store(store), m_codec(codec), m_fleet(fleet), m_retry(retry), m_log(log) {}
 
   void Start() { Read(); }
+  void SetLeavingBound(Milliseconds bound) { m_leaving_bound = bound; }
   // Called after each change of the fleet.
   void SetListener(std::function<void()> listener) { m_listener = std::move(listener); }
   // Other instances depend on what this one reads.
@@ -68,6 +70,7 @@
   DecisionLog* const m_log;
   std::function<void()> m_listener;
   std::optional<TimePoint> m_listed;
+  Milliseconds m_leaving_bound{2000};
   bool m_failing = false;
   bool m_relaying = false;
   std::optional<TimePoint> m_relayed;  // Last confirmation through another instance.
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -36,6 +36,7 @@
         upstream.own_suspect_until = TimePoint();
         upstream.stopped_until = TimePoint();
         upstream.failures = 0;
+        upstream.suspicions = 0;
       }
       if (old.draining != record.draining) {
         changes.push_back(
@@ -76,6 +77,10 @@
     return false;
   }
   const bool news = now >= upstream->suspect_until;
+  if (news) {
+    duration = SuspicionTime(*upstream, duration, now);
+    upstream->suspicions = now - upstream->suspect_until < kRelapse ? upstream->suspicions + 1 : 1;
+  }
   upstream->suspect_until = std::max(upstream->suspect_until, now + duration);
   upstream->own_suspect_until = std::max(upstream->own_suspect_until, now + duration);
   if (news) {
@@ -84,6 +89,14 @@
   return news;
 }
 
+Milliseconds Fleet::SuspicionTime(const Upstream& upstream, Milliseconds duration,
+                                  TimePoint now) const {
+  if (now - upstream.suspect_until >= kRelapse) {
+    return duration;
+  }
+  return duration * (1 << std::min(upstream.suspicions, kMostDoublings));
+}
+
 void Fleet::MarkStopped(const std::string& id, Milliseconds duration, TimePoint now) {
   Suspect(id, duration, now);
   if (Upstream* const upstream = Find(id)) {
@@ -109,6 +122,9 @@
       upstream->full_until = std::max(upstream->full_until, now + duration);
       return;
     }
+    if (now >= upstream->suspect_until) {
+      upstream->suspicions = now - upstream->suspect_until < kRelapse ? upstream->suspicions + 1 : 1;
+    }
     if (kind == SuspectKind::kStopped) {
       upstream->stopped_until = std::max(upstream->stopped_until, now + duration);
     }
--- a/src/fleet/path_selector.cc
+++ b/src/fleet/path_selector.cc
@@ -25,6 +25,14 @@
 // Delay of a hop inside a failure domain, in ms.
 constexpr double kLocalHopMs = 0.2;
 
+// Spread of choices in a fleet of kSpreadInstances; it grows with the root of the instances, as the
+// number of choices between two reports grows faster than the reports.
+constexpr double kSpread = 0.1;
+constexpr double kSpreadInstances = 9;
+constexpr double kMostSpread = 0.5;
+// Without any knowledge of the load, streams are spread over engines of up to twice the cost.
+constexpr double kBlindSpread = 1.0;
+
 struct Candidate {
   const Upstream* upstream;
   EngineModel model;
@@ -55,6 +63,13 @@
   return (known + added) / capacity_token_layers;
 }
 
+double ChoiceSpread(int instances, bool load_known) {
+  if (!load_known) {
+    return kBlindSpread;
+  }
+  return std::min(kMostSpread, kSpread * std::sqrt(instances / kSpreadInstances));
+}
+
 std::optional<EnginePath> PathSelector::Choose(const Fleet& fleet, const PathQuery& query,
                                                PathProblem* problem) const {
   PathQuery narrowed = query;
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -128,7 +128,8 @@
       m_queue.StartSome(m_loop->Now());
     });
     m_fleet.SetFindingListener([this] { m_exchange->OnFinding(); });
-    m_duty.SetCpuShare(m_context.settings.cpu_share);
+    m_lister.SetLeavingBound(m_context.settings.leaving_bound);
+    m_duty.SetCpuShares(m_context.settings.cpu_share, std::nullopt);
     m_config_watcher.Start();
     m_lister.Start();
     m_duty.Start();
@@ -213,6 +214,7 @@
       m_context.assumed_instances = instances ? 0 : m_last_instances;
       if (instances) {
         m_last_instances = *instances;
+        m_context.instances = m_last_instances;
         m_budget.SetInstances(m_last_instances, m_loop->Now());
         m_store_retry.SetInstances(m_last_instances);
       }
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -34,6 +34,9 @@
 // A full engine has memory again as soon as one of its streams ends, some 20 times a second.
 // The others hear of it some 100 ms later.
 constexpr Milliseconds kFullFor{200};
+// How long an engine that failed a stream gets no new ones the first time. Short, since engines
+// that work fail now and then, too.
+constexpr Milliseconds kFailingFor{500};
 // A stream is not moved when less time is left.
 constexpr Milliseconds kLeastTimeToMove{300};
 // Longest wait of a broken stream for a path with memory.
@@ -182,6 +185,7 @@
   query.excluded = m_excluded;
   query.now = Now();
   query.assumed_instances = m_context->assumed_instances;
+  query.spread = ChoiceSpread(m_context->instances, m_context->assumed_instances == 0);
   return query;
 }
 
@@ -306,6 +310,10 @@
     Again("engines refuse work: " + reason, true);
     return;
   }
+  if (status >= 500) {
+    // What an engine does to requests counts, not what it says of its health.
+    SuspectEngine(first, kFailingFor, reason);
+  }
   if (!m_head_sent && m_answer.sealed && !PromisesNotRun(status) &&
       (status < 500 || !MayRepeat() || m_sends >= Route().max_attempts)) {
     Deliver(std::move(m_head), "the engine answered " + reason);
--- a/src/forward/stream_moves.cc
+++ b/src/forward/stream_moves.cc
@@ -195,10 +195,13 @@
 void StreamExchange::SuspectEngine(const std::string& id, Milliseconds duration,
                                    const std::string& reason) {
   if (m_context->fleet->Suspect(id, duration, Now())) {
+    const Upstream* const upstream = m_context->fleet->Find(id);
+    const auto time = std::chrono::duration_cast<Milliseconds>(upstream->suspect_until - Now());
     m_context->log->Write("upstream_suspect",
                           {{"upstream", id},
                            {"reason", reason},
-                           {"for_ms", duration.count()},
+                           {"for_ms", time.count()},
+                           {"in_a_row", upstream->suspicions},
                            {"request_id", m_caller.id}},
                           true);
   }
--- a/src/placement/duty_lease.cc
+++ b/src/placement/duty_lease.cc
@@ -13,10 +13,10 @@
 
 void DutyLease::Start() { Look(); }
 
-void DutyLease::SetCpuShare(double share) {
-  const double missing = 1 - std::min(1.0, share / kAmpleCpuShare);
-  m_delay = Milliseconds(
-      static_cast<int64_t>(missing * static_cast<double>(kSmallInstanceDelay.count())));
+void DutyLease::SetCpuShares(double own, std::optional<double> most) {
+  const double missing = 1 - std::min(1.0, own / std::max(1e-6, most.value_or(kAmpleCpuShare)));
+  const Milliseconds longest = most ? kSmallInstanceDelay : kUnknownFleetDelay;
+  m_delay = Milliseconds(static_cast<int64_t>(missing * static_cast<double>(longest.count())));
 }
 
 void DutyLease::LookNow() {
@@ -70,6 +70,11 @@
       Later(kLookInterval, &DutyLease::Look);
       return;
     }
+    if (reading.value().entry && reading.value().entry->value == m_value && !m_last_holder) {
+      // The former process has ended, since this one has its address.
+      Acquire();
+      return;
+    }
     if (reading.value().entry) {
       const std::string& holder = reading.value().entry->value;
       m_last_holder = m_last_holder && holder == m_value;
@@ -96,28 +101,34 @@
     if (m_stopped) {
       return;
     }
-    if (!reading || reading.value().entry) {
+    const bool left_behind = reading && reading.value().entry &&
+                             reading.value().entry->value == m_value && !m_last_holder;
+    if (!reading || (reading.value().entry && !left_behind)) {
       Later(kLookInterval, &DutyLease::Look);
       return;
     }
-    // The lease runs from the arrival of the call, so counting from its sending is safe.
-    const TimePoint granted = m_loop->Now();
-    m_store->GrantLease(kTtl, [this, granted](Result<uint64_t> lease) {
-      if (m_stopped) {
-        return;
-      }
-      if (!lease) {
-        Later(kLookInterval, &DutyLease::Look);
-        return;
-      }
-      Create(lease.value(), granted);
-    });
+    Grant(left_behind ? reading.value().entry->revision : 0);
+  });
+}
+
+void DutyLease::Grant(uint64_t replaced) {
+  // The lease runs from the arrival of the call, so counting from its sending is safe.
+  const TimePoint granted = m_loop->Now();
+  m_store->GrantLease(kTtl, [this, granted, replaced](Result<uint64_t> lease) {
+    if (m_stopped) {
+      return;
+    }
+    if (!lease) {
+      Later(kLookInterval, &DutyLease::Look);
+      return;
+    }
+    Create(lease.value(), replaced, granted);
   });
 }
 
-void DutyLease::Create(uint64_t lease, TimePoint granted) {
+void DutyLease::Create(uint64_t lease, uint64_t replaced, TimePoint granted) {
   m_store->CompareAndSwap(
-      m_key, 0, m_value, lease, [this, lease, granted](Result<uint64_t> revision) {
+      m_key, replaced, m_value, lease, [this, lease, replaced, granted](Result<uint64_t> revision) {
         if (m_stopped) {
           return;
         }
@@ -129,16 +140,18 @@
           Later(kLookInterval, &DutyLease::Look);
           return;
         }
-        m_store->Get(m_key, ReadMode::kNewest, [this, lease, granted](Result<KvReading> reading) {
-          if (m_stopped) {
-            return;
-          }
-          if (reading && reading.value().entry && reading.value().entry->value == m_value) {
-            Become(lease, reading.value().entry->revision, granted);
-          } else {
-            Later(kLookInterval, &DutyLease::Look);
-          }
-        });
+        m_store->Get(
+            m_key, ReadMode::kNewest, [this, lease, replaced, granted](Result<KvReading> reading) {
+              if (m_stopped) {
+                return;
+              }
+              if (reading && reading.value().entry && reading.value().entry->value == m_value &&
+                  reading.value().entry->revision > replaced) {
+                Become(lease, reading.value().entry->revision, granted);
+              } else {
+                Later(kLookInterval, &DutyLease::Look);
+              }
+            });
       });
 }
 
--- a/src/sync/state_exchange.cc
+++ b/src/sync/state_exchange.cc
@@ -19,16 +19,11 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-// About a dozen streams begin in a fleet of nine instances between two reports.
-constexpr Milliseconds kLeastInterval{150};
-// The holder's work for one instance, some 0.3 ms of a small machine each time, stays within a
-// tenth of its processor time.
-constexpr Milliseconds kIntervalPerInstance{3};
-// Older load sends streams to engines that are full, so larger fleets cost the holder more.
-constexpr Milliseconds kMostInterval{600};
 // The load of the others is not used when it is older; estimates from the own load are better then.
 constexpr Milliseconds kLoadLife{1500};
 constexpr Milliseconds kReconnect{400};
+// Between two reports until the holder has told how often it wants them.
+constexpr Milliseconds kFirstInterval{150};
 // Changes that come together leave together.
 constexpr Milliseconds kPushDelay{20};
 // Reports and totals between the regular ones come at most this many times as often.
@@ -48,6 +43,7 @@
         m_loop(loop),
         m_name(settings.name),
         m_address(settings.peer_address),
+        m_cpu_share(settings.cpu_share),
         m_parts(parts),
         m_state{loop, parts.fleet, parts.config, parts.lister},
         m_acceptor(*io) {}
@@ -80,7 +76,7 @@
     }
     m_pushing = true;
     const auto since = std::chrono::duration_cast<Milliseconds>(m_loop->Now() - m_ticked);
-    const Milliseconds gap = ReportInterval(m_instances) / kPushRate;
+    const Milliseconds gap = m_interval / kPushRate;
     m_timer = m_loop->After(std::max(kPushDelay, gap - since), [this] { Tick(); });
   }
 
@@ -124,7 +120,7 @@
     const bool urgent = m_pushing;
     m_pushing = false;
     m_ticked = m_loop->Now();
-    m_timer = m_loop->After(ReportInterval(m_instances), [this] { Tick(); });
+    m_timer = m_loop->After(m_interval, [this] { Tick(); });
     for (auto link = m_reporters.begin(); link != m_reporters.end();) {
       if (link->first->Silent()) {
         link->first->Close();
@@ -148,7 +144,7 @@
     m_parts.lister->SetRelaying(holding);
     DropHolder();
     if (holding) {
-      m_holding.emplace(m_state, m_name);
+      m_holding.emplace(m_state, m_name, m_cpu_share);
       return;
     }
     m_holding.reset();
@@ -171,7 +167,7 @@
         link->Send(frame);
       }
     }
-    OnTotals(totals.instances, m_name);
+    OnTotals(totals, m_name);
   }
 
   void Report(bool urgent) {
@@ -192,7 +188,7 @@
       }
       m_next_connect = now + kReconnect;
       m_holder_endpoint = *holder;
-      m_reporting.emplace(m_state, m_name);
+      m_reporting.emplace(m_state, m_name, m_cpu_share);
       m_holder = std::make_shared<PeerLink>(tcp::socket(*m_io), m_loop);
       m_holder->SetHandler([this](const SyncMessage& message) { OnHolderMessage(message); });
       m_holder->Connect(*holder);
@@ -215,7 +211,7 @@
       m_reporting->OnNews(*news);
     } else if (const auto* const totals = std::get_if<HolderTotals>(&message)) {
       m_reporting->OnTotals(*totals);
-      OnTotals(totals->instances, m_reporting->Holder());
+      OnTotals(*totals, m_reporting->Holder());
     }
   }
 
@@ -227,19 +223,25 @@
     m_reporting.reset();
   }
 
-  void OnTotals(int instances, const std::string& holder) {
-    if (!m_known || instances != m_instances) {
-      m_parts.log->Write("load_shared", {{"instances", instances}, {"holder", holder}}, false);
+  void OnTotals(const HolderTotals& totals, const std::string& holder) {
+    if (!m_known || totals.instances != m_instances) {
+      m_parts.log->Write("load_shared", {{"instances", totals.instances}, {"holder", holder}},
+                         false);
     }
+    if (totals.interval.count() > 0) {
+      m_interval = totals.interval;
+    }
+    m_parts.duty->SetCpuShares(m_cpu_share, totals.most_cpu_share);
     m_known = true;
     m_received = m_loop->Now();
-    m_instances = instances;
+    m_instances = totals.instances;
   }
 
   asio::io_context* const m_io;
   EventLoop* const m_loop;
   const std::string m_name;
   const tcp::endpoint m_address;
+  const double m_cpu_share;
   const StateExchangeParts m_parts;
   const SharedState m_state;
   tcp::acceptor m_acceptor;
@@ -254,16 +256,13 @@
   TimePoint m_ticked;
   TimePoint m_received;
   int m_instances = 0;
+  Milliseconds m_interval = kFirstInterval;  // As the holder says.
   std::unique_ptr<Timer> m_timer;
   std::unique_ptr<Timer> m_accept_timer;
 };
 
 }  // namespace
 
-Milliseconds ReportInterval(int instances) {
-  return std::clamp(instances * kIntervalPerInstance, kLeastInterval, kMostInterval);
-}
-
 Result<std::unique_ptr<StateExchange>> MakeStateExchange(asio::io_context* io, EventLoop* loop,
                                                          const GatewaySettings& settings,
                                                          const StateExchangeParts& parts) {
--- a/src/sync/state_sides.cc
+++ b/src/sync/state_sides.cc
@@ -2,17 +2,34 @@
 
 #include "sync/state_sides.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace azuregw {
 namespace {
 
+// About a dozen streams begin in a fleet of nine instances between two reports.
+constexpr Milliseconds kLeastInterval{150};
+// The holder's work for one instance takes some 0.2 ms of a core each time, and reports come up to
+// three times as often while engines fail; so it takes a third of the holder's processor time.
+constexpr Milliseconds kIntervalPerInstance{3};
+constexpr double kUsualCpuShare = 0.5;
+// Older load sends streams to engines that are full, so larger fleets cost the holder more.
+constexpr Milliseconds kMostInterval{600};
+
 int64_t ToMicroseconds(std::chrono::steady_clock::duration time) {
   return std::chrono::duration_cast<std::chrono::microseconds>(time).count();
 }
 
 }  // namespace
 
+Milliseconds ReportInterval(int instances, double holder_cpu_share) {
+  const double slowness = std::max(1.0, kUsualCpuShare / std::max(0.01, holder_cpu_share));
+  const auto interval = Milliseconds(static_cast<int64_t>(
+      slowness * static_cast<double>((instances * kIntervalPerInstance).count())));
+  return std::clamp(interval, kLeastInterval, kMostInterval);
+}
+
 void HolderSide::OnReport(const InstanceReport& report, ReporterState* reporter) {
   const TimePoint now = m_state.loop->Now();
   if (reporter->number == 0) {
@@ -21,6 +38,7 @@
   }
   reporter->stamp_us = report.stamp_us;
   reporter->stamp_arrived = now;
+  m_most_cpu_share = std::max(m_most_cpu_share, report.cpu_share);
   m_ledger.Add(reporter->number, report.load, now);
 }
 
@@ -59,6 +77,8 @@
   HolderTotals totals;
   totals.load = m_ledger.Totals(now);
   totals.instances = m_ledger.Instances();
+  totals.interval = ReportInterval(totals.instances, m_cpu_share);
+  totals.most_cpu_share = std::max(m_most_cpu_share, m_cpu_share);
   ApplyTotals(totals.load, own, kOwnNumber, m_history.Numbers(), m_state.fleet, now);
   return totals;
 }
@@ -67,6 +87,7 @@
   const TimePoint now = m_state.loop->Now();
   InstanceReport report;
   report.instance = m_name;
+  report.cpu_share = m_cpu_share;
   report.stamp_us = ToMicroseconds(now.time_since_epoch());
   report.load = OwnLoad(*m_state.fleet, m_list.Numbers(), m_number, now);
   m_sent.push_back({report.stamp_us, report.load});
--- a/src/sync/state_sides.h
+++ b/src/sync/state_sides.h
@@ -29,6 +29,10 @@
   UpstreamLister* lister = nullptr;
 };
 
+// Time between two reports of an instance, and between two totals of a holder with this processor
+// time.
+Milliseconds ReportInterval(int instances, double holder_cpu_share);
+
 // What the holder knows of one link.
 struct ReporterState {
   InstanceNumber number = 0;
@@ -41,7 +45,8 @@
 // One tenure of the duty.
 class HolderSide {
  public:
-  HolderSide(SharedState state, std::string name) : m_state(state), m_name(std::move(name)) {}
+  HolderSide(SharedState state, std::string name, double cpu_share)
+      : m_state(state), m_name(std::move(name)), m_cpu_share(cpu_share) {}
 
   void OnReport(const InstanceReport& report, ReporterState* reporter);
   // Returns false when the tenure must end, because the numbers of upstreams are used up.
@@ -56,15 +61,18 @@
 
   const SharedState m_state;
   const std::string m_name;
+  const double m_cpu_share;
   UpstreamHistory m_history;
   LoadLedger m_ledger;
   std::map<std::string, InstanceNumber> m_instances;
+  double m_most_cpu_share = 0;  // Of those that reported in this tenure.
 };
 
 // One connection to the holder.
 class ReporterSide {
  public:
-  ReporterSide(SharedState state, std::string name) : m_state(state), m_name(std::move(name)) {}
+  ReporterSide(SharedState state, std::string name, double cpu_share)
+      : m_state(state), m_name(std::move(name)), m_cpu_share(cpu_share) {}
 
   InstanceReport NextReport();
   void OnNews(const HolderNews& news);
@@ -82,6 +90,7 @@
 
   const SharedState m_state;
   const std::string m_name;
+  const double m_cpu_share;
   std::string m_holder;
   InstanceNumber m_number = 0;
   RelayedUpstreams m_list;
--- a/src/sync/sync_frames.cc
+++ b/src/sync/sync_frames.cc
@@ -102,6 +102,7 @@
   table.instance = report.instance;
   table.stamp_us = report.stamp_us;
   table.urgent = report.urgent;
+  table.cpu_share = static_cast<float>(report.cpu_share);
   PackLoad(report.load, &table);
   wire::SyncBodyUnion body;
   body.Set(std::move(table));
@@ -137,6 +138,8 @@
 wire::SyncBodyUnion Pack(const HolderTotals& totals) {
   wire::HolderTotalsT table;
   table.instances = static_cast<uint32_t>(totals.instances);
+  table.interval_ms = static_cast<uint32_t>(totals.interval.count());
+  table.most_cpu_share = static_cast<float>(totals.most_cpu_share);
   PackLoad(totals.load, &table);
   wire::SyncBodyUnion body;
   body.Set(std::move(table));
@@ -181,13 +184,15 @@
   }
   const std::unique_ptr<wire::SyncFrameT> frame(wire::GetSyncFrame(payload.data())->UnPack());
   if (const wire::InstanceReportT* const table = frame->body.AsInstanceReport()) {
-    return InstanceReport{table->instance, table->stamp_us, table->urgent, UnpackLoad(*table)};
+    return InstanceReport{table->instance, table->stamp_us, table->urgent, table->cpu_share,
+                          UnpackLoad(*table)};
   }
   if (const wire::HolderNewsT* const table = frame->body.AsHolderNews()) {
     return UnpackNews(*table);
   }
   if (const wire::HolderTotalsT* const table = frame->body.AsHolderTotals()) {
-    return HolderTotals{static_cast<int>(table->instances), UnpackLoad(*table)};
+    return HolderTotals{static_cast<int>(table->instances), Milliseconds(table->interval_ms),
+                        table->most_cpu_share, UnpackLoad(*table)};
   }
   return std::nullopt;
 }
--- a/src/sync/sync_frames.h
+++ b/src/sync/sync_frames.h
@@ -21,6 +21,7 @@
   std::string instance;
   int64_t stamp_us = 0;  // Of the sender's clock.
   bool urgent = false;   // Contains something new that all should know at once.
+  double cpu_share = 0;  // Processor time of the instance, in cores.
   LoadReport load;
 };
 
@@ -43,6 +44,8 @@
 
 struct HolderTotals {
   int instances = 0;
+  Milliseconds interval{0};   // Between two reports and two totals.
+  double most_cpu_share = 0;  // Of all instances, in cores.
   LoadReport load;
 };
 
--- a/src/sync/upstream_lister.cc
+++ b/src/sync/upstream_lister.cc
@@ -50,7 +50,7 @@
 }
 
 void UpstreamLister::Next() {
-  if (!m_relaying && m_relayed && m_loop->Now() - *m_relayed < kRelayTrust) {
+  if (!m_relaying && m_relayed && m_loop->Now() - *m_relayed < m_leaving_bound - kRelayMargin) {
     m_timer = m_loop->After(kRelayCheck, [this] { Next(); });
     return;
   }
@@ -59,18 +59,20 @@
 
 void UpstreamLister::Read() {
   const TimePoint sent = m_loop->Now();
-  m_store->List(m_codec->UpstreamPrefix(), ReadMode::kNewest,
-                [this, sent](Result<KvListing> listing) {
-                  if (listing) {
-                    Apply(listing.value(), sent);
-                  } else if (!m_failing) {
-                    m_failing = true;
-                    m_log->Write("store_lost",
-                                 {{"for", "upstreams"}, {"reason", listing.error().message}}, true);
-                  }
-                  const Milliseconds interval = m_relaying ? kRelayingInterval : kInterval;
-                  m_timer = m_loop->After(listing ? interval : m_retry->Next(), [this] { Next(); });
-                });
+  m_store->List(
+      m_codec->UpstreamPrefix(), ReadMode::kNewest, [this, sent](Result<KvListing> listing) {
+        if (listing) {
+          Apply(listing.value(), sent);
+        } else if (!m_failing) {
+          m_failing = true;
+          m_log->Write("store_lost", {{"for", "upstreams"}, {"reason", listing.error().message}},
+                       true);
+        }
+        const auto own_interval = Milliseconds(
+            static_cast<int64_t>(kIntervalShare * static_cast<double>(m_leaving_bound.count())));
+        const Milliseconds interval = m_relaying ? kRelayingInterval : own_interval;
+        m_timer = m_loop->After(listing ? interval : m_retry->Next(), [this] { Next(); });
+      });
 }
 
 void UpstreamLister::Apply(const KvListing& listing, TimePoint sent) {
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -44,6 +44,8 @@
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_path.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // A child that inherits sockets keeps connections open that this process has closed.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   pid_t pid = 0;
   const int status = posix_spawn(&pid, argv[0], &actions, nullptr, argv.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
