Take engines that refused for full for a while

Change: an engine that refused counts as full, and as less full until three seconds have passed; all instances hear of it.

Ruled out: asking engines for their memory in use (a priced call for each refusal).

--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -109,6 +109,7 @@
     const bool news = now >= upstream->full_until;
     upstream->full_until = std::max(upstream->full_until, now + duration);
     upstream->own_full_until = now + duration;
+    upstream->refused_at = now;
     if (news) {
       m_on_finding();
     }
@@ -119,6 +120,7 @@
                             TimePoint now) {
   if (Upstream* const upstream = Find(id)) {
     if (kind == SuspectKind::kFull) {
+      upstream->refused_at = now;
       upstream->full_until = std::max(upstream->full_until, now + duration);
       return;
     }
--- a/src/fleet/path_selector.cc
+++ b/src/fleet/path_selector.cc
@@ -33,6 +33,15 @@
 // Without any knowledge of the load, streams are spread over engines of up to twice the cost.
 constexpr double kBlindSpread = 1.0;
 
+// An engine that refused is taken for full, and then for less full until this time has passed: it
+// may work for streams that no instance knows of, because theirs was killed.
+constexpr Milliseconds kRefusalMemory{3000};
+
+double RefusedLoad(const Upstream& upstream, TimePoint now) {
+  const std::chrono::duration<double> age = now - upstream.refused_at;
+  return 1 - age / std::chrono::duration<double>(kRefusalMemory);
+}
+
 struct Candidate {
   const Upstream* upstream;
   EngineModel model;
@@ -109,7 +118,8 @@
     }
     EngineModel model(profile, record.accelerator);
     const double capacity = model.KvTokenLayers(held);
-    const double used = MemoryLoad(upstream, 0, capacity, query.assumed_instances);
+    const double used = std::max(MemoryLoad(upstream, 0, capacity, query.assumed_instances),
+                                 RefusedLoad(upstream, query.now));
     const int domain =
         domains.emplace(record.failure_domain, static_cast<int>(domains.size())).first->second;
     candidates.push_back({&upstream, model, capacity, used, 1 + query.spread * m_random->Unit(),
--- a/tests/fleet/fleet_test.cc
+++ b/tests/fleet/fleet_test.cc
@@ -204,6 +204,43 @@
   BOOST_TEST(OwnLoad(second, numbers, 2, later).loads.empty());
 }
 
+// Load pattern: engines that go down and up by turns, or look healthy and fail all work. Guards
+// against an engine that takes the same share of streams down with each return.
+BOOST_AUTO_TEST_CASE(suspicions_of_a_relapsing_engine_get_longer) {
+  Fleet fleet;
+  fleet.Update({Plain("s1", "a")}, false, kNow);
+  const auto usable = [&fleet](TimePoint now) { return fleet.Find("s1")->Usable(now); };
+  const Milliseconds base(500);
+  TimePoint now = kNow;
+  for (const int factor : {1, 2, 4, 4}) {
+    BOOST_TEST(fleet.Suspect("s1", base, now));
+    BOOST_TEST(!usable(now + base * factor - Milliseconds(1)));
+    now += base * factor;
+    BOOST_TEST(usable(now));
+    now += Milliseconds(200);
+  }
+  // After a good time, or as a new process, it starts anew.
+  now += Fleet::kRelapse;
+  fleet.Suspect("s1", base, now);
+  BOOST_TEST(usable(now + base));
+  fleet.Suspect("s1", base, now + base);
+  UpstreamRecord restarted = Plain("s1", "a");
+  restarted.started_ms = 99;
+  fleet.Update({restarted}, false, now);
+  fleet.Suspect("s1", base, now);
+  BOOST_TEST(usable(now + base));
+}
+
+// The same with suspicions of which this instance was told.
+BOOST_AUTO_TEST_CASE(reported_suspicions_count_for_the_next_one) {
+  Fleet fleet;
+  fleet.Update({Plain("s1", "a")}, false, kNow);
+  fleet.SuspectByReport("s1", Milliseconds(500), SuspectKind::kFailing, kNow);
+  const TimePoint later = kNow + Milliseconds(600);
+  fleet.Suspect("s1", Milliseconds(500), later);
+  BOOST_TEST(!fleet.Find("s1")->Usable(later + Milliseconds(999)));
+}
+
 // Guards against reservations that outlive their engine and close it for ever.
 BOOST_AUTO_TEST_CASE(release_never_goes_below_zero) {
   Fleet fleet;
--- a/tests/fleet/path_selector_test.cc
+++ b/tests/fleet/path_selector_test.cc
@@ -212,6 +212,45 @@
   BOOST_TEST(paths < 80);
 }
 
+// Load pattern: 89 instances choose between two reports. Guards against all of them taking the same
+// engine, and against a small fleet that no longer prefers the best one.
+BOOST_AUTO_TEST_CASE(choices_spread_with_the_fleet_and_most_without_knowledge) {
+  BOOST_TEST(ChoiceSpread(9, true) == 0.1, boost::test_tools::tolerance(0.01));
+  BOOST_TEST(ChoiceSpread(89, true) > 0.3);
+  BOOST_TEST(ChoiceSpread(600, true) <= 0.5);
+  BOOST_TEST(ChoiceSpread(9, false) >= 1.0);
+}
+
+// Load pattern: all instances are killed, and engines go on for their callers, of whom the new
+// processes know nothing. Guards against engines that are asked again and again because they look
+// empty (dathanna grown trouble-1: 1,264 refusals in eight seconds).
+BOOST_AUTO_TEST_CASE(engine_that_refused_is_not_taken_for_empty) {
+  const auto random = MakeRandom(3);
+  EngineProfile profile = MixedProfile();
+  profile.layers = 8;
+  Fleet fleet;
+  fleet.Update({EngineRecordOf("quick", "a", "a100", LayerRange{0, 8}),
+                EngineRecordOf("other", "a", "l40s", LayerRange{0, 8})},
+               false, kNow);
+  PathQuery query;
+  query.service = "model";
+  query.profile = &profile;
+  query.tokens = 100;
+  query.failure_domain = "a";
+  query.max_load = 0.95;
+  PathProblem problem = PathProblem::kNoCover;
+  const PathSelector selector(random.get());
+  const auto first_at = [&](TimePoint now) {
+    query.now = now;
+    const auto path = selector.Choose(fleet, query, &problem);
+    return path ? path->hops.front().id : std::string("none");
+  };
+  BOOST_TEST(first_at(kNow) == "quick");
+  fleet.MarkFull("quick", Milliseconds(200), kNow);
+  BOOST_TEST(first_at(kNow + Milliseconds(300)) == "other");
+  BOOST_TEST(first_at(kNow + Milliseconds(3100)) == "quick");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/forward/stream_exchange_test.cc
+++ b/tests/forward/stream_exchange_test.cc
@@ -272,6 +272,23 @@
   }
 }
 
+// Guards against an engine that reports itself healthy and answers every stream with an error
+// (dathanna grown trouble-1: 941 streams failed, two engines each).
+BOOST_AUTO_TEST_CASE(engine_that_fails_a_stream_is_suspected) {
+  GatewayFixture f;
+  const auto exchange = f.Start("/stream/1");
+  std::string first;
+  for (const auto& [id, upstream] : f.fleet.All()) {
+    if (upstream.own.requests > 0 && id.substr(0, 3) == "low") {
+      first = id;
+    }
+  }
+  f.Call(0).Head(500, false);
+  f.Call(0).Done();
+  BOOST_TEST(!f.fleet.Find(first)->Usable(f.loop.Now()));
+  BOOST_TEST(f.client.calls.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(caller_who_leaves_frees_the_memory) {
   GatewayFixture f;
   auto exchange = f.Start("/stream/1");
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -336,6 +336,9 @@
         instance->process->Continue();
       }
       Restart(instance.get());
+      if (instance->stopping) {
+        PollStop(instance.get(), m_loop->Now());
+      }
     }
   }
 
