--- a/include/azuregw/fleet/fleet.h
+++ b/include/azuregw/fleet/fleet.h
@@ -70,7 +70,7 @@
   TimePoint stopped_until;      // Some instance found that it does not answer at all.
   TimePoint full_until;
   TimePoint own_full_until;
-  TimePoint refused_at;  // Last refusal for want of memory, anywhere.
+  TimePoint refused_at;   // Last refusal for want of memory, anywhere.
   int failures = 0;       // Consecutive failures of calls.
   int suspicions = 0;     // In a row, each soon after the end of the one before.
   int reported_load = 0;  // Running and waiting requests by its own account.
--- a/include/azuregw/logging/request_story.h
+++ b/include/azuregw/logging/request_story.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace azuregw {
--- a/include/azuregw/metrics/metrics.h
+++ b/include/azuregw/metrics/metrics.h
@@ -1,4 +1,5 @@
-// Counters, gauges, time summaries and latency histograms of this process, printed in the Prometheus text format.
+// Counters, gauges, time summaries and latency histograms of this process, printed in the
+// Prometheus text format.
 
 #ifndef AZUREGW_METRICS_METRICS_H_
 #define AZUREGW_METRICS_METRICS_H_
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -125,7 +125,8 @@
       return;
     }
     if (now >= upstream->suspect_until) {
-      upstream->suspicions = now - upstream->suspect_until < kRelapse ? upstream->suspicions + 1 : 1;
+      upstream->suspicions =
+          now - upstream->suspect_until < kRelapse ? upstream->suspicions + 1 : 1;
     }
     if (kind == SuspectKind::kStopped) {
       upstream->stopped_until = std::max(upstream->stopped_until, now + duration);
--- a/src/placement/duty_lease.cc
+++ b/src/placement/duty_lease.cc
@@ -43,9 +43,9 @@
 }
 
 void DutyLease::StepDown(const std::string& reason) {
+  m_last_holder = false;
   if (m_token != 0) {
     Lose(reason);
-    m_last_holder = false;
   }
 }
 
--- a/src/sync/peer_link.h
+++ b/src/sync/peer_link.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <utility>
 
 #include "azuregw/base/event_loop.h"
 #include "azuregw/peer/frame_decoder.h"
--- a/tests/fakes/fakes_main.cc
+++ b/tests/fakes/fakes_main.cc
@@ -1,7 +1,7 @@
 // azuregw-fakes: the stand-ins of the platform and the upstreams as separate processes.
 //
 //   azuregw-fakes kv|list|engine|service --address=IP:port ...
-//   azuregw-fakes platform --net=127.30.1   the users' platform: a store, four engines, two services
+//   azuregw-fakes platform --net=127.30.1   the users' platform: store, four engines, two services
 //   azuregw-fakes platform-settings --net=127.30.1 --instance=N   prints settings of an instance
 //   azuregw-fakes expect --prompt=TEXT --total_layers=N --max_tokens=N   prints the text of a right
 //   answer
@@ -166,7 +166,8 @@
     std::cout << ExpectedText(FLAGS_prompt, FLAGS_total_layers, FLAGS_max_tokens) << "\n";
     return 0;
   }
-  std::cerr << "usage: azuregw-fakes kv|list|engine|service|platform|platform-settings|expect [flags]\n";
+  std::cerr << "usage: azuregw-fakes "
+               "kv|list|engine|service|platform|platform-settings|expect [flags]\n";
   return 1;
 }
 
--- a/tests/fakes/platform_store.h
+++ b/tests/fakes/platform_store.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "azuregw/base/event_loop.h"
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -2,6 +2,7 @@
 
 #include "tests/soak/soak_run.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
