Do not end a silent stream for a resume that the budget forbids

The new test fails before the change.

Ruled out: the time limit of the route (1.6 s of 20 s had passed), a stop of the instance (it got SIGHUP, not SIGTERM).

--- a/include/azuregw/admission/repeat_budget.h
+++ b/include/azuregw/admission/repeat_budget.h
@@ -28,7 +28,9 @@
   // are out of touch go on repeating.
   void SetInstances(int instances, TimePoint now);
   void OnRequest(const std::string& service, TimePoint now);
-  // Whether one more send of a request fits; takes it when it does.
+  // Whether one more send of a request fits.
+  bool Allows(const std::string& service, TimePoint now);
+  // The same, and takes it when it does.
   bool Take(const std::string& service, TimePoint now);
 
  private:
--- a/src/admission/repeat_budget.cc
+++ b/src/admission/repeat_budget.cc
@@ -37,16 +37,20 @@
   Expire(&counts, now);
 }
 
-bool RepeatBudget::Take(const std::string& service, TimePoint now) {
+bool RepeatBudget::Allows(const std::string& service, TimePoint now) {
   Counts& counts = m_services[service];
   Expire(&counts, now);
   const double allowed =
       kUsableShare * (m_bounds.share * static_cast<double>(counts.requests.size()) +
                       m_bounds.allowance / m_instances);
-  if (static_cast<double>(counts.repeats.size()) + 1 > allowed) {
+  return static_cast<double>(counts.repeats.size()) + 1 <= allowed;
+}
+
+bool RepeatBudget::Take(const std::string& service, TimePoint now) {
+  if (!Allows(service, now)) {
     return false;
   }
-  counts.repeats.push_back(now);
+  m_services[service].repeats.push_back(now);
   return true;
 }
 
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -240,7 +240,9 @@
 }
 
 bool StreamExchange::MayResend() const {
-  return MayRepeat() && m_sends < Route().max_attempts && TimeLeft() >= kLeastTimeToMove;
+  // Whoever asks ends a running attempt, so the resume must not fail for want of budget.
+  return MayRepeat() && m_sends < Route().max_attempts && TimeLeft() >= kLeastTimeToMove &&
+         m_context->budget->Allows(m_service, Now());
 }
 
 double StreamExchange::Reservation(const PathHop& hop) const {
--- a/tests/forward/stream_exchange_test.cc
+++ b/tests/forward/stream_exchange_test.cc
@@ -289,6 +289,23 @@
   BOOST_TEST(f.client.calls.size() == 2U);
 }
 
+// Guards against a running stream that is ended for a resume that the budget then forbids (swanlink
+// grown trouble-2: LOST, a stream broken off under planned work).
+BOOST_AUTO_TEST_CASE(silent_stream_is_not_left_without_budget_for_a_resume) {
+  GatewayFixture f;
+  const auto exchange = f.Start("/stream/1");
+  f.Call(0).Head(200, true);
+  f.Call(0).Body(Event(1));
+  while (f.budget.Take("model", f.loop.Now())) {
+  }
+  f.loop.Advance(Milliseconds(3000));
+  BOOST_TEST(!f.responder.broken);
+  BOOST_TEST(f.client.calls.size() == 1U);
+  f.Call(0).Body(Event(2));
+  f.Call(0).Done();
+  BOOST_TEST(f.responder.complete);
+}
+
 BOOST_AUTO_TEST_CASE(caller_who_leaves_frees_the_memory) {
   GatewayFixture f;
   auto exchange = f.Start("/stream/1");
