Choose the widths of layer ranges from the profile and the engines

Cause: weights were given 0.65 of each engine's memory. No constant serves all sites.

Change: LayoutShape. All widths that the memory allows are laid out and scored by the requests that the weakest cell of each domain holds, with and without its largest holder, less a cost for hops. Held widths are kept. The first layout waits until no engine has registered for 1.2 s.

--- a/include/azuregw/placement/layer_layout.h
+++ b/include/azuregw/placement/layer_layout.h
@@ -31,10 +31,6 @@
   LayerRange layers;
 };
 
-// Returns the number of layers per grid cell, chosen so that the smallest engine holds one cell and
-// has memory left for requests.
-int GridCellLayers(const EngineProfile& profile);
-
 // Returns ranges for the engines that hold no layers. If there are none and some layers are held by
 // no engine, returns at most one reassignment of a redundant engine. `engines` must not include
 // draining engines.
--- a/include/azuregw/placement/layout_controller.h
+++ b/include/azuregw/placement/layout_controller.h
@@ -34,6 +34,12 @@
   // Delay before a new leader plans, because the first list may lack engines that are still
   // registering.
   static constexpr Milliseconds kSettlingTime{700};
+  // Time without a new upstream after which the list of a fleet that holds no layers is taken for
+  // complete. The shape of the layout follows from all engines, and these register over several
+  // seconds when a deployment starts.
+  static constexpr Milliseconds kRegistrationTime{1200};
+  // Limit of the wait for the first layout.
+  static constexpr Milliseconds kMaxRegistrationTime{4000};
 
   LayoutController(EventLoop* loop, LeaderLease* leader_lease, const RouteTable* routes,
                    const Fleet* fleet, EngineControl* control, EventLog* log)
@@ -75,6 +81,8 @@
   std::map<std::string, Order> m_orders;  // Queries and orders by engine ID.
   uint64_t m_fencing_token = 0;  // Fencing token under which the entries of `m_orders` were made.
   TimePoint m_leader_since;      // Time at which this instance became the leader.
+  size_t m_known_upstreams = 0;  // Listed upstreams at the last tick.
+  TimePoint m_last_growth;       // Last tick at which the list had grown.
   std::unique_ptr<Timer> m_timer;
 };
 
--- a/src/placement/layout_controller.cc
+++ b/src/placement/layout_controller.cc
@@ -2,6 +2,7 @@
 
 #include "azuregw/placement/layout_controller.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace azuregw {
@@ -35,10 +36,14 @@
 
 void LayoutController::Tick() {
   m_timer = m_loop->After(kPlanInterval, [this] { Tick(); });
+  const TimePoint now = m_loop->Now();
+  if (m_fleet->All().size() > m_known_upstreams) {
+    m_last_growth = now;
+  }
+  m_known_upstreams = m_fleet->All().size();
   if (!m_leader_lease->Held()) {
     return;
   }
-  const TimePoint now = m_loop->Now();
   if (m_fencing_token != m_leader_lease->FencingToken()) {
     m_fencing_token = m_leader_lease->FencingToken();
     m_orders.clear();
@@ -76,6 +81,13 @@
     }
     engines.push_back({id, record.failure_domain, record.accelerator, layers});
   }
+  const bool first_layout =
+      std::none_of(engines.begin(), engines.end(),
+                   [](const LayoutEngine& engine) { return engine.layers.has_value(); });
+  if (first_layout && now - m_last_growth < kRegistrationTime &&
+      now - m_leader_since < kMaxRegistrationTime) {
+    return;
+  }
   const std::vector<LayoutChange> changes = PlanLayout(profile, engines);
   for (const LayoutChange& change : changes) {
     const auto found = m_orders.find(change.id);
--- /dev/null
+++ b/src/placement/layout_coverage.cc
@@ -0,0 +1,81 @@
+// Accumulates the capacity of grid cells and finds the range with the highest benefit.
+
+#include "placement/layout_coverage.h"
+
+#include <algorithm>
+
+namespace azuregw {
+namespace {
+
+// Weight of a cell's coverage over all failure domains relative to that in the engine's own domain.
+constexpr double kFleetWeight = 0.3;
+// Added to a cell's coverage before it is inverted, in requests of typical size; bounds the gain of
+// an uncovered cell.
+constexpr double kCoverageOffset = 1.0;
+
+void AddHolder(double requests, LayoutCoverage::Cell* cell) {
+  cell->requests += requests;
+  cell->largest_holder = std::max(cell->largest_holder, requests);
+}
+
+}  // namespace
+
+double RequestCapacity(const EngineProfile& profile, const EngineModel& model, int layers) {
+  const double typical_tokens =
+      std::max(1.0, profile.usual_prompt_tokens + profile.usual_answer_tokens);
+  return model.KvTokenLayers(layers) / layers / typical_tokens;
+}
+
+LayoutCoverage::LayoutCoverage(const EngineProfile& profile, int cell_layers)
+    : m_layers(profile.layers),
+      m_cell_layers(cell_layers),
+      m_cells((profile.layers + cell_layers - 1) / cell_layers),
+      m_fleet(static_cast<size_t>(m_cells)) {}
+
+LayerRange LayoutCoverage::Range(int first_cell, int cells) const {
+  return {first_cell * m_cell_layers, std::min(m_layers, (first_cell + cells) * m_cell_layers)};
+}
+
+int LayoutCoverage::DomainIndex(const std::string& name) {
+  for (size_t i = 0; i < m_domains.size(); ++i) {
+    if (m_domains[i].name == name) {
+      return static_cast<int>(i);
+    }
+  }
+  m_domains.push_back({name, std::vector<Cell>(static_cast<size_t>(m_cells))});
+  return static_cast<int>(m_domains.size()) - 1;
+}
+
+void LayoutCoverage::Add(int domain, const LayerRange& range, double requests) {
+  std::vector<Cell>& cells = m_domains[static_cast<size_t>(domain)].cells;
+  for (int cell = 0; cell < m_cells; ++cell) {
+    const LayerRange layers = Range(cell, 1);
+    if (range.first <= layers.first && range.last >= layers.last) {
+      AddHolder(requests, &cells[static_cast<size_t>(cell)]);
+      AddHolder(requests, &m_fleet[static_cast<size_t>(cell)]);
+    }
+  }
+}
+
+int LayoutCoverage::BestStart(int domain, int cells) const {
+  const auto gain = [this, domain](int cell) {
+    return 1 / (kCoverageOffset + InDomain(domain, cell).requests) +
+           kFleetWeight / (kCoverageOffset + InFleet(cell).requests);
+  };
+  double window = 0;
+  for (int cell = 0; cell < cells; ++cell) {
+    window += gain(cell);
+  }
+  int best = 0;
+  double best_gain = window;
+  for (int start = 1; start + cells <= m_cells; ++start) {
+    window += gain(start + cells - 1) - gain(start - 1);
+    if (window > best_gain + 1e-9) {
+      best = start;
+      best_gain = window;
+    }
+  }
+  return best;
+}
+
+}  // namespace azuregw
--- a/tests/placement/layer_layout_test.cc
+++ b/tests/placement/layer_layout_test.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "azuregw/fleet/engine_model.h"
+#include "azuregw/placement/layout_shape.h"
 #include "tests/support/engine_fixture.h"
 
 namespace azuregw {
@@ -81,7 +82,7 @@
 // Guards against ranges that no other engine can replace because they are not aligned to the grid.
 BOOST_AUTO_TEST_CASE(ranges_are_aligned_to_one_grid) {
   const EngineProfile profile = MixedProfile();
-  const int cell = GridCellLayers(profile);
+  const int cell = ChooseLayoutShape(profile, ToLayoutEngines(DeploymentEngines())).cell_layers;
   BOOST_TEST(profile.layers % cell == 0);
   for (const LayoutChange& change : PlanLayout(profile, ToLayoutEngines(DeploymentEngines()))) {
     BOOST_TEST(change.layers.first % cell == 0);
--- a/tests/placement/layout_controller_test.cc
+++ b/tests/placement/layout_controller_test.cc
@@ -131,6 +131,35 @@
   }
 }
 
+// Load pattern: the start of a deployment, whose engines register over two seconds. Guards against
+// a layout whose shape follows from the engines that happened to register first.
+BOOST_AUTO_TEST_CASE(first_layout_is_planned_for_the_complete_list) {
+  Fixture f;
+  const std::vector<UpstreamRecord> all = f.records;
+  f.fleet.Update({}, false, f.loop.Now());
+  for (size_t listed = 5; listed <= all.size(); listed += 7) {
+    f.records.assign(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(listed));
+    f.PublishList();
+    f.Run(500);
+    BOOST_TEST(f.engines.m_orders.empty());
+  }
+  f.records = all;
+  f.PublishList();
+  f.Run(3000);
+  std::vector<LayoutEngine> engines;
+  for (const UpstreamRecord& record : all) {
+    engines.push_back({record.id, record.failure_domain, record.accelerator, std::nullopt});
+  }
+  std::map<std::string, LayerRange> planned;
+  for (const LayoutChange& change : PlanLayout(MixedProfile(), engines)) {
+    planned[change.id] = change.layers;
+  }
+  BOOST_REQUIRE(f.engines.m_orders.size() == all.size());
+  for (const PlacementOrder& order : f.engines.m_orders) {
+    BOOST_TEST((order.layers == planned[order.id]));
+  }
+}
+
 // Guards against an engine that executes an old order after a newer one, because the old one got no
 // reply and starts seconds later.
 BOOST_AUTO_TEST_CASE(late_order_does_not_start_after_its_retry) {
