Stop polling the store for a configuration that does not exist yet

Cause: until the operator publishes the first configuration, some seconds after a deployment starts, every instance read the store every 250 ms, as no relay covers an absent configuration: with 295 instances 1,180 reads a second. Change: the leader tells that the store holds none, followers then wait; an instance without a leader reads once a second. Test: sync_sessions/followers_do_not_poll_for_the_first_configuration (a follower makes 3 calls at most in ten seconds; 40 before by the interval).

--- a/include/azuregw/sync/config_watcher.h
+++ b/include/azuregw/sync/config_watcher.h
@@ -36,6 +36,10 @@
   // Store calls are skipped while the last relayed confirmation is younger than this. API keys are
   // accepted for 3.5 s after a confirmation, which leaves time for a call to the store.
   static constexpr Milliseconds kMaxRelayedAge{1800};
+  // Delay before an instance that found no configuration in the store reads again. The operator
+  // publishes the first one seconds after a deployment starts, and the leader, which uses
+  // StoreRetry, relays it.
+  static constexpr Milliseconds kAbsentRetryDelay{1000};
   // Interval of the freshness check while store calls are skipped.
   static constexpr Milliseconds kRelayCheckInterval{100};
 
@@ -54,6 +58,11 @@
   // local time. `document` is empty when this instance already has the version.
   void OnRelayedConfig(uint64_t version, std::string_view document, TimePoint confirmed);
 
+  // Handles a message of the leader that the store holds no configuration yet.
+  void OnRelayedAbsence() { m_absence_relayed = m_loop->Now(); }
+  // Returns whether this instance found no configuration in the store a short time ago.
+  bool KnownAbsent() const;
+
   struct Confirmation {
     uint64_t version;
     const std::string* document;  // Stored form; valid until the next change.
@@ -86,6 +95,8 @@
   bool m_store_reachable = true;
   bool m_relaying = false;
   std::string m_document;  // Stored form of the active configuration; empty before the first.
+  std::optional<TimePoint> m_absence_read;     // Last read that found no configuration.
+  std::optional<TimePoint> m_absence_relayed;  // Last message of the leader that there is none.
   std::optional<TimePoint> m_relay_confirmed;  // Time of the last relayed confirmation.
   std::unique_ptr<Timer> m_timer;
 };
--- a/src/sync/config_watcher.cc
+++ b/src/sync/config_watcher.cc
@@ -76,8 +76,17 @@
   }
 }
 
+bool ConfigWatcher::KnownAbsent() const {
+  return m_table->Version() == 0 && m_absence_read &&
+         m_loop->Now() - *m_absence_read < kMaxRelayedAge;
+}
+
 void ConfigWatcher::RunNextStep() {
-  if (!m_relaying && m_relay_confirmed && m_loop->Now() - *m_relay_confirmed < kMaxRelayedAge) {
+  const TimePoint now = m_loop->Now();
+  const bool relayed = m_relay_confirmed && now - *m_relay_confirmed < kMaxRelayedAge;
+  const bool absence_relayed =
+      m_table->Version() == 0 && m_absence_relayed && now - *m_absence_relayed < kMaxRelayedAge;
+  if (!m_relaying && (relayed || absence_relayed)) {
     // The store may compact its history in the meantime.
     m_must_read = true;
     Schedule(kRelayCheckInterval, &ConfigWatcher::RunNextStep);
@@ -101,7 +110,8 @@
     m_revision = reading.value().store_revision;
     if (!reading.value().entry) {
       // No configuration has been published yet.
-      Schedule(m_retry->NextDelay(), &ConfigWatcher::RunNextStep);
+      m_absence_read = m_loop->Now();
+      Schedule(m_relaying ? m_retry->NextDelay() : kAbsentRetryDelay, &ConfigWatcher::RunNextStep);
       return;
     }
     if (Apply(reading.value().entry->value, "store")) {
--- a/src/sync/sync_frames.cc
+++ b/src/sync/sync_frames.cc
@@ -128,6 +128,7 @@
     table.config_age_us = update.config->age_us;
     table.config = update.config->document;
   }
+  table.config_absent = update.config_absent;
   if (update.list_age_us) {
     table.list_known = true;
     table.list_age_us = *update.list_age_us;
@@ -162,6 +163,7 @@
   if (table.config_known) {
     update.config = RelayedConfig{table.config_version, table.config, table.config_age_us};
   }
+  update.config_absent = table.config_absent;
   if (table.list_known) {
     update.list_age_us = table.list_age_us;
     update.list.full = table.list_whole;
--- a/src/sync/sync_sessions.cc
+++ b/src/sync/sync_sessions.cc
@@ -63,6 +63,7 @@
       update.config->document = *config->document;
     }
   }
+  update.config_absent = m_state.config->KnownAbsent();
   if (const auto list_confirmed = m_state.lister->Confirmed();
       list_confirmed && m_history.Version() > 0) {
     update.list_age_us = ToMicroseconds(follower->report_arrived - *list_confirmed);
@@ -119,6 +120,9 @@
     m_state.config->OnRelayedConfig(update.config->version, update.config->document,
                                     to_local_time(update.config->age_us));
   }
+  if (update.config_absent) {
+    m_state.config->OnRelayedAbsence();
+  }
   if (update.list_age_us) {
     const bool changed = m_list.Apply(update.list);
     m_state.lister->OnRelayedList(m_list, changed, to_local_time(*update.list_age_us));
--- a/tests/sync/sync_sessions_test.cc
+++ b/tests/sync/sync_sessions_test.cc
@@ -68,6 +68,45 @@
 
 BOOST_AUTO_TEST_SUITE(sync_sessions)
 
+// Load pattern: the start of a large deployment, ten seconds before the operator publishes the
+// first configuration. Guards against all instances polling the store for it (1,180 reads a second
+// with 295 instances).
+BOOST_AUTO_TEST_CASE(followers_do_not_poll_for_the_first_configuration) {
+  FakeLoop loop;
+  FakeAsyncStore store{&loop};
+  store.Put("up/e1", "ready");
+  FakeAsyncStore follower_store{&loop};  // A view of the same store, to count the calls.
+  Instance leader{&loop, &store};
+  Instance follower{&loop, &follower_store};
+  LeaderSession leader_session{leader.state, "i1", 0.25};
+  FollowerSession follower_session{follower.state, "i2", 0.5};
+  FollowerState follower_state;
+  leader.watcher.SetRelaying(true);
+  leader.lister.SetRelaying(true);
+  leader.watcher.Start();
+  leader.lister.Start();
+  loop.Advance(Milliseconds(50));
+  const auto exchange_for = [&](Milliseconds time) {
+    for (Milliseconds elapsed(0); elapsed < time; elapsed += Milliseconds(150)) {
+      BOOST_REQUIRE(leader_session.UpdateUpstreams());
+      leader_session.OnReport(follower_session.BuildReport(), &follower_state);
+      follower_session.OnUpdate(leader_session.UpdateFor(&follower_state, true));
+      loop.Advance(Milliseconds(150));
+    }
+  };
+  exchange_for(Milliseconds(150));
+  follower.watcher.Start();
+  exchange_for(Milliseconds(10000));
+  BOOST_TEST(follower_store.m_calls <= 3);
+  store.Put("config", "3");
+  exchange_for(Milliseconds(600));
+  BOOST_TEST(follower.table.Version() == 3U);
+  // Without the leader the follower reads for itself.
+  follower_store.Put("config", "4");
+  loop.Advance(Milliseconds(4000));
+  BOOST_TEST(follower.table.Version() == 4U);
+}
+
 // Guards against store calls that grow with the fleet.
 BOOST_AUTO_TEST_CASE(follower_with_a_leader_does_not_call_the_store) {
   Fixture f;
