Include the time for prompts in the cost of an engine

Change: EngineModel::PrefillUtilization from the running requests, and a factor 1 / (1 - utilization) on the token time.

--- a/include/azuregw/fleet/engine_model.h
+++ b/include/azuregw/fleet/engine_model.h
@@ -28,6 +28,9 @@
   double StepMs(int layers, double running, double context_tokens) const;
   // Returns the time to prefill a prompt of `tokens` tokens through `layers` layers, in ms.
   double PrefillMs(int layers, double tokens) const;
+  // Returns the fraction of the time that the engine spends on prompts if `running` requests of
+  // typical size pass through its `layers` layers at any time.
+  double PrefillUtilization(int layers, double running) const;
   // Returns the multiplier on step times of this accelerator kind.
   double StepFactor() const { return m_kind.step_factor; }
 
@@ -36,6 +39,9 @@
   AcceleratorKind m_kind;
 };
 
+// Returns the time that a request of typical size takes on accelerators of average speed, in ms.
+double TypicalDurationMs(const EngineProfile& profile);
+
 }  // namespace azuregw
 
 #endif  // AZUREGW_FLEET_ENGINE_MODEL_H_
--- a/src/fleet/engine_model.cc
+++ b/src/fleet/engine_model.cc
@@ -46,4 +46,23 @@
           m_profile.prefill_ms_per_m_pairs * million_pairs);
 }
 
+double EngineModel::PrefillUtilization(int layers, double running) const {
+  const double duration_ms = TypicalDurationMs(m_profile);
+  return duration_ms <= 0
+             ? 0
+             : running * PrefillMs(layers, m_profile.usual_prompt_tokens) / duration_ms;
+}
+
+double TypicalDurationMs(const EngineProfile& profile) {
+  if (profile.kinds.empty()) {
+    return 0;
+  }
+  double factors = 0;
+  for (const auto& [name, kind] : profile.kinds) {
+    factors += kind.step_factor;
+  }
+  return profile.usual_answer_tokens * profile.step_ms * factors /
+         static_cast<double>(profile.kinds.size());
+}
+
 }  // namespace azuregw
--- a/src/fleet/path_selector.cc
+++ b/src/fleet/path_selector.cc
@@ -18,6 +18,8 @@
 // Growth of an engine's cost with the square of its load: a full engine costs five times an empty
 // one, so that paths of half the speed are selected before memory runs out.
 constexpr double kLoadCostFactor = 4.0;
+// Utilization by prompts above which the modeled delay does not grow further.
+constexpr double kMaxModeledPromptUtilization = 0.95;
 // Maximum number of repeated searches that exclude an overloaded engine.
 constexpr int kMaxSearches = 3;
 // Delay of a hop inside a failure domain, in ms.
@@ -51,8 +53,22 @@
   double jitter;    // Random cost multiplier.
   int domain;       // Index of the failure domain.
   double slowdown;
+  double congestion;  // Factor on the token time while the engine also reads prompts.
 };
 
+// Returns the number of running requests at an upstream.
+double Requests(const Upstream& upstream, const PathQuery& query) {
+  return query.assumed_instances > 0
+             ? static_cast<double>(upstream.own_load.requests) * query.assumed_instances
+             : static_cast<double>(upstream.own_load.requests + upstream.others_load.requests);
+}
+
+// Returns the factor on the token time of an engine that spends `utilization` of its time on
+// prompts: tokens wait for prompts, and prompts for one another.
+double PromptCongestion(double utilization) {
+  return 1 / (1 - std::min(kMaxModeledPromptUtilization, utilization));
+}
+
 // Cheapest last hop to a boundary in a failure domain. The indices are -1 at the start.
 struct Step {
   double cost = std::numeric_limits<double>::infinity();
@@ -174,9 +190,10 @@
                                  RefusedLoad(upstream, query.now));
     const int domain =
         domains.emplace(record.failure_domain, static_cast<int>(domains.size())).first->second;
-    candidates.push_back({&upstream, model, capacity, used,
-                          1 + query.cost_jitter * m_random->Unit(), domain,
-                          query.now < upstream.slowdown_until ? upstream.slowdown : 1});
+    candidates.push_back(
+        {&upstream, model, capacity, used, 1 + query.cost_jitter * m_random->Unit(), domain,
+         query.now < upstream.slowdown_until ? upstream.slowdown : 1,
+         PromptCongestion(model.PrefillUtilization(held, Requests(upstream, query)))});
     boundaries.push_back(record.layers->first);
     boundaries.push_back(record.layers->last);
   }
@@ -229,7 +246,8 @@
         const double context = candidate.used * candidate.capacity / (held.last - held.first);
         const double running = usual_tokens > 0 ? context / usual_tokens : 0;
         const double time = candidate.model.StepMs(layers, running, context) * candidate.jitter *
-                            candidate.slowdown * (1 + kLoadCostFactor * load * load);
+                            candidate.slowdown * candidate.congestion *
+                            (1 + kLoadCostFactor * load * load);
         for (int previous = 0; previous < (entering ? 1 : domain_count); ++previous) {
           double cost = time;
           if (entering) {
