Send large configurations on request, and stop scoring memory that is not needed

Change: a document above 64 KB is announced only; followers read it from the store, spread over 0.5 s. One that cannot read it asks the leader, which sends such documents with a quarter of its link. Test: sync_sessions/large_configuration_is_read_from_the_store.

--- a/include/azuregw/forward/gateway_settings.h
+++ b/include/azuregw/forward/gateway_settings.h
@@ -20,6 +20,8 @@
   boost::asio::ip::tcp::endpoint store_address;
   // CPU time available to the instance, in cores.
   double cpu_share = 1;
+  // Bandwidth of the instance's network link, in Mbit/s.
+  double link_mbps = 1000;
   // Time after a stop signal at which the process exits even if requests are still running.
   Milliseconds stop_grace{8000};
   // Longest time for which a removed API key may still be accepted; 0 means no bound.
--- a/include/azuregw/sync/config_watcher.h
+++ b/include/azuregw/sync/config_watcher.h
@@ -40,6 +40,9 @@
   // publishes the first one seconds after a deployment starts, and the leader, which uses
   // StoreRetry, relays it.
   static constexpr Milliseconds kAbsentRetryDelay{1000};
+  // Time over which the instances of a large fleet spread their reads of a new version.
+  static constexpr Milliseconds kMaxReadSpread{500};
+  static constexpr Milliseconds kReadSpreadPerInstance{2};
   // Interval of the freshness check while store calls are skipped.
   static constexpr Milliseconds kRelayCheckInterval{100};
 
@@ -55,7 +58,8 @@
   // calls the store and uses kRelayingWatchWait.
   void SetRelaying(bool relaying) { m_relaying = relaying; }
   // Handles a configuration relayed by the leader: `version` was the newest one at `confirmed`, in
-  // local time. `document` is empty when this instance already has the version.
+  // local time. `document` is empty when this instance already has the version, or should read it
+  // from the store.
   void OnRelayedConfig(uint64_t version, std::string_view document, TimePoint confirmed);
 
   // Handles a message of the leader that the store holds no configuration yet.
@@ -63,6 +67,11 @@
   // Returns whether this instance found no configuration in the store a short time ago.
   bool KnownAbsent() const;
 
+  // Returns the version of the active configuration; 0 if there is none.
+  uint64_t Version() const { return m_table->Version(); }
+  // Returns whether the leader knows a newer version that this instance could not read.
+  bool NeedsDocument() const { return m_newest_relayed > Version() && m_newest_unreadable; }
+
   struct Confirmation {
     uint64_t version;
     const std::string* document;  // Stored form; valid until the next change.
@@ -76,6 +85,8 @@
   void RunNextStep();
   void Read();
   void Watch();
+  // Reads the version that the leader announced, unless a call is in progress.
+  void ReadAnnounced();
   // Decodes the document and adopts it if it is newer. Returns whether it could be decoded.
   bool Apply(std::string_view document, std::string_view source);
   void OnFailure(const Error& error);
@@ -93,12 +104,16 @@
   uint64_t m_revision = 0;  // Store revision up to which changes are known.
   bool m_must_read = true;  // A change after m_revision may have been missed.
   bool m_store_reachable = true;
+  bool m_calling = false;            // A call to the store is in progress.
+  uint64_t m_newest_relayed = 0;     // Newest version that the leader announced.
+  bool m_newest_unreadable = false;  // A read failed after the announcement.
   bool m_relaying = false;
   std::string m_document;  // Stored form of the active configuration; empty before the first.
   std::optional<TimePoint> m_absence_read;     // Last read that found no configuration.
   std::optional<TimePoint> m_absence_relayed;  // Last message of the leader that there is none.
   std::optional<TimePoint> m_relay_confirmed;  // Time of the last relayed confirmation.
   std::unique_ptr<Timer> m_timer;
+  std::unique_ptr<Timer> m_announce_timer;  // Delays the read of an announced version.
 };
 
 }  // namespace azuregw
--- a/include/azuregw/sync/store_retry.h
+++ b/include/azuregw/sync/store_retry.h
@@ -27,6 +27,13 @@
 
   // Sets the number of instances in the fleet.
   void SetInstances(int instances) { m_instances = instances; }
+  // Returns a random delay of up to `per_instance` for each instance, but not above `max`. Spreads
+  // calls that all instances make for the same reason.
+  Milliseconds Spread(Milliseconds per_instance, Milliseconds max) {
+    const Milliseconds range = std::min(max, m_instances * per_instance);
+    return Milliseconds(
+        static_cast<int64_t>(m_random->Unit() * static_cast<double>(range.count())));
+  }
   // Returns the delay before the next attempt: 75 % to 125 % of the interval for the fleet size.
   Milliseconds NextDelay() {
     const Milliseconds interval =
--- a/src/placement/layout_coverage.cc
+++ b/src/placement/layout_coverage.cc
@@ -15,6 +15,9 @@
 // Added to a cell's coverage before it is inverted, in requests of typical size; bounds the gain of
 // an uncovered cell.
 constexpr double kCoverageOffset = 1.0;
+// Requests of typical size beyond which memory does not bind, in multiples of the slots of an
+// engine: a domain with that many running requests is limited by the speed of its engines.
+constexpr double kAmpleSlots = 2.0;
 // Weight of the capacity after the loss of an engine relative to that with all engines.
 constexpr double kLossWeight = 0.5;
 // Weight of the fraction of covered cells, so that a domain that lacks several cells gains with
@@ -41,9 +44,9 @@
 
 // Returns the score of one set of cells: the covered fraction, the weakest cell with all holders,
 // and the weakest and the average cell without their largest holders.
-double ScoreCells(gsl::span<const LayoutCoverage::Cell> cells) {
+double ScoreCells(gsl::span<const LayoutCoverage::Cell> cells, double ample_requests) {
   const auto count = static_cast<double>(cells.size());
-  double weakest = std::numeric_limits<double>::infinity();
+  double weakest = ample_requests;
   double covered = 0;
   for (const LayoutCoverage::Cell& cell : cells) {
     weakest = std::min(weakest, cell.requests);
@@ -70,6 +73,8 @@
 
 LayoutCoverage::LayoutCoverage(const EngineProfile& profile, int cell_layers)
     : m_layers(profile.layers),
+      m_ample_requests(profile.slots > 0 ? kAmpleSlots * profile.slots
+                                         : std::numeric_limits<double>::infinity()),
       m_cell_layers(cell_layers),
       m_cells((profile.layers + cell_layers - 1) / cell_layers),
       m_fleet(static_cast<size_t>(m_cells)) {}
@@ -111,9 +116,10 @@
 }
 
 double LayoutCoverage::Score() const {
-  double score = kFleetScoreWeight * ScoreCells(m_fleet);
+  double score = kFleetScoreWeight *
+                 ScoreCells(m_fleet, m_ample_requests * static_cast<double>(m_domains.size()));
   for (const Domain& domain : m_domains) {
-    score += ScoreCells(domain.cells) / static_cast<double>(m_domains.size());
+    score += ScoreCells(domain.cells, m_ample_requests) / static_cast<double>(m_domains.size());
   }
   return score;
 }
--- a/src/placement/layout_coverage.h
+++ b/src/placement/layout_coverage.h
@@ -58,6 +58,7 @@
   };
 
   const int m_layers;
+  const double m_ample_requests;  // Requests beyond which more capacity is of no use to a domain.
   const int m_cell_layers;
   const int m_cells;
   std::vector<Domain> m_domains;
--- a/src/sync/config_watcher.cc
+++ b/src/sync/config_watcher.cc
@@ -26,6 +26,14 @@
   if (!document.empty() && !Apply(document, "instance")) {
     return;
   }
+  if (version > m_newest_relayed) {
+    m_newest_relayed = version;
+    m_newest_unreadable = false;
+    if (version > m_table->Version()) {
+      m_announce_timer = m_loop->After(m_retry->Spread(kReadSpreadPerInstance, kMaxReadSpread),
+                                       [this] { ReadAnnounced(); });
+    }
+  }
   // The active version differs if it was read from the store after `confirmed`, or if the relayed
   // document could not be decoded.
   if (version == m_table->Version()) {
@@ -61,7 +69,16 @@
   return true;
 }
 
+void ConfigWatcher::ReadAnnounced() {
+  if (m_newest_relayed <= m_table->Version() || m_calling || m_relaying) {
+    return;
+  }
+  m_timer.reset();
+  Read();
+}
+
 void ConfigWatcher::OnFailure(const Error& error) {
+  m_newest_unreadable = true;
   if (m_store_reachable) {
     m_store_reachable = false;
     m_log->Write("store_lost", {{"for", "config"}, {"reason", error.message}}, true);
@@ -101,7 +118,9 @@
 
 void ConfigWatcher::Read() {
   const TimePoint sent = m_loop->Now();
+  m_calling = true;
   m_store->Get(m_codec->ConfigKey(), ReadMode::kNewest, [this, sent](Result<KvReading> reading) {
+    m_calling = false;
     if (!reading) {
       OnFailure(reading.error());
       Schedule(m_retry->NextDelay(), &ConfigWatcher::RunNextStep);
@@ -125,8 +144,10 @@
 void ConfigWatcher::Watch() {
   const TimePoint sent = m_loop->Now();
   const Milliseconds wait = m_relaying ? kRelayingWatchWait : kWatchWait;
+  m_calling = true;
   m_store->Watch(m_codec->ConfigKey(), m_revision, wait,
                  [this, sent, wait](Result<KvWatchReply> reply) {
+                   m_calling = false;
                    if (!reply) {
                      // Only a read proves that the failed watch missed no change, and API keys
                      // are accepted only while the configuration's age is bounded.
--- a/src/sync/state_exchange.cc
+++ b/src/sync/state_exchange.cc
@@ -30,6 +30,10 @@
 // Maximum rate of reports and totals ahead of schedule, as a multiple of the regular rate.
 constexpr int kMaxPushRate = 3;
 
+// Part of the leader's link that may be used to send large configurations to instances that cannot
+// read them from the store; the rest is for callers and reports.
+constexpr double kDocumentLinkShare = 0.25;
+
 // Returns the "IP:port" at the end of the value that the leader stored with its lease.
 std::optional<tcp::endpoint> LeaderEndpoint(const std::string& value) {
   const size_t space = value.rfind(' ');
@@ -47,6 +51,7 @@
         m_name(settings.name),
         m_address(settings.peer_address),
         m_cpu_share(settings.cpu_share),
+        m_document_bytes_per_s(kDocumentLinkShare * settings.link_mbps * 1e6 / 8),
         m_dependencies(dependencies),
         m_state{loop, dependencies.fleet, dependencies.config, dependencies.lister},
         m_acceptor(*io) {}
@@ -170,6 +175,8 @@
       m_dependencies.lease->StepDown("upstream numbers are exhausted");
       return;
     }
+    m_leader_session->SetDocumentBudget(static_cast<int64_t>(
+        m_document_bytes_per_s * std::chrono::duration<double>(m_interval).count()));
     const FleetTotals totals = m_leader_session->Totals();
     const SharedFrame frame = EncodeSyncMessage(totals);
     for (auto& [connection, state] : m_followers) {
@@ -255,6 +262,7 @@
   const std::string m_name;
   const tcp::endpoint m_address;
   const double m_cpu_share;
+  const double m_document_bytes_per_s;  // Rate at which large configurations may be sent.
   const StateExchangeDependencies m_dependencies;
   const SharedState m_state;
   tcp::acceptor m_acceptor;
--- a/src/sync/sync_frames.cc
+++ b/src/sync/sync_frames.cc
@@ -110,6 +110,8 @@
   table.stamp_us = report.stamp_us;
   table.urgent = report.urgent;
   table.cpu_share = static_cast<float>(report.cpu_share);
+  table.config_version = report.config_version;
+  table.config_wanted = report.config_wanted;
   PackLoad(report.load, &table);
   wire::SyncBodyUnion body;
   body.Set(std::move(table));
@@ -193,8 +195,9 @@
   }
   const std::unique_ptr<wire::SyncFrameT> frame(wire::GetSyncFrame(payload.data())->UnPack());
   if (const wire::InstanceReportT* const table = frame->body.AsInstanceReport()) {
-    return InstanceReport{table->instance, table->stamp_us, table->urgent, table->cpu_share,
-                          UnpackLoad(*table)};
+    return InstanceReport{table->instance,     table->stamp_us,    table->urgent,
+                          table->cpu_share,    UnpackLoad(*table), table->config_version,
+                          table->config_wanted};
   }
   if (const wire::HolderNewsT* const table = frame->body.AsHolderNews()) {
     return UnpackUpdate(*table);
--- a/src/sync/sync_frames.h
+++ b/src/sync/sync_frames.h
@@ -24,12 +24,15 @@
   bool urgent = false;   // True if it contains a new health report to relay immediately.
   double cpu_share = 0;  // CPU share of the follower, in cores.
   LoadReport load;
+  uint64_t config_version = 0;  // Version of the follower's configuration; 0 if it has none.
+  bool config_wanted = false;   // The follower cannot read the newest version from the store.
 };
 
 // The routing configuration as relayed by the leader.
 struct RelayedConfig {
   uint64_t version = 0;
-  std::string document;  // Empty when the receiver already has this version.
+  // Empty when the receiver already has this version, or should read it from the store.
+  std::string document;
   // Age when the report arrived whose `stamp_us` StateUpdate::echo_us returns.
   int64_t age_us = 0;
 };
--- a/src/sync/sync_sessions.cc
+++ b/src/sync/sync_sessions.cc
@@ -41,6 +41,8 @@
   }
   follower->stamp_us = report.stamp_us;
   follower->report_arrived = now;
+  follower->config_version = report.config_version;
+  follower->config_wanted = report.config_wanted;
   m_max_cpu_share = std::max(m_max_cpu_share, report.cpu_share);
   m_load_table.SetReport(follower->number, report.load, now);
 }
@@ -58,9 +60,14 @@
   if (const auto config = m_state.config->Confirmed()) {
     update.config = RelayedConfig{config->version, "",
                                   ToMicroseconds(follower->report_arrived - config->confirmed_at)};
-    if (follower->sent_config_version != config->version) {
+    const auto size = static_cast<int64_t>(config->document->size());
+    const bool push = config->document->size() <= kMaxPushedDocumentBytes;
+    if (follower->config_version != config->version &&
+        follower->sent_config_version != config->version &&
+        (push || (follower->config_wanted && m_document_budget > 0))) {
       follower->sent_config_version = config->version;
       update.config->document = *config->document;
+      m_document_budget -= push ? 0 : size;
     }
   }
   update.config_absent = m_state.config->KnownAbsent();
@@ -95,6 +102,8 @@
   report.cpu_share = m_cpu_share;
   report.stamp_us = ToMicroseconds(now.time_since_epoch());
   report.load = BuildLoadReport(*m_state.fleet, m_list.Numbers(), m_number, now);
+  report.config_version = m_state.config->Version();
+  report.config_wanted = m_state.config->NeedsDocument();
   m_sent.push_back({report.stamp_us, report.load});
   if (m_sent.size() > kMaxUnacknowledgedReports) {
     m_sent.pop_front();
--- a/src/sync/sync_sessions.h
+++ b/src/sync/sync_sessions.h
@@ -38,7 +38,9 @@
   InstanceNumber number = 0;
   int64_t stamp_us = 0;  // Stamp of the last report; 0 if none.
   TimePoint report_arrived;
-  uint64_t sent_config_version = 0;  // Configuration version that the follower has.
+  uint64_t sent_config_version = 0;  // Last configuration version sent to the follower.
+  uint64_t config_version = 0;       // Configuration version that the follower has.
+  bool config_wanted = false;        // The follower cannot read the newest one from the store.
   uint64_t sent_list_version = 0;    // Upstream list version that the follower has.
 };
 
@@ -56,11 +58,19 @@
   // Builds the update for one follower and marks its content as sent. `lease_held` tells whether
   // this instance holds the leader lease.
   StateUpdate UpdateFor(FollowerState* follower, bool lease_held);
+  // Allows `bytes` more of configuration documents to be sent to followers that want them. An
+  // unused allowance expires.
+  void SetDocumentBudget(int64_t bytes) {
+    m_document_budget = std::min(bytes, m_document_budget + bytes);
+  }
   // Returns the totals of all instances including this one, and applies them to its own fleet.
   FleetTotals Totals();
 
  private:
   static constexpr InstanceNumber kOwnNumber = 0;
+  // Largest document that is sent to every follower at once. Followers read larger ones from the
+  // store: 295 copies of 400 KB would occupy the leader's link for seconds.
+  static constexpr size_t kMaxPushedDocumentBytes = size_t{64} << 10;
 
   const SharedState m_state;
   const std::string m_name;
@@ -68,7 +78,8 @@
   UpstreamHistory m_history;
   FleetLoadTable m_load_table;
   std::map<std::string, InstanceNumber> m_instances;
-  double m_max_cpu_share = 0;  // Largest CPU share reported in this term, in cores.
+  int64_t m_document_budget = 0;  // Bytes of large documents that may be sent; may be negative.
+  double m_max_cpu_share = 0;     // Largest CPU share reported in this term, in cores.
 };
 
 // Follower's side of the exchange for one connection to the leader.
--- a/tests/sync/sync_sessions_test.cc
+++ b/tests/sync/sync_sessions_test.cc
@@ -107,6 +107,50 @@
   BOOST_TEST(follower.table.Version() == 4U);
 }
 
+// Load pattern: the operator adds 1,560 routes in a fleet of 295 instances (dathanna large
+// trouble-1). Guards against a leader whose link is occupied for seconds by copies of the document:
+// reports and totals stopped, and all instances fell back to the store.
+BOOST_AUTO_TEST_CASE(large_configuration_is_read_from_the_store) {
+  Fixture f;
+  FakeAsyncStore follower_store{&f.loop};
+  Instance reader{&f.loop, &follower_store};
+  FollowerSession reader_session{reader.state, "i3", 0.5};
+  FollowerState reader_state;
+  // A version with leading zeros stands for a large document.
+  const std::string large = std::string(200000, '0') + "4";
+  const auto exchange = [&] {
+    BOOST_REQUIRE(f.leader_session.UpdateUpstreams());
+    f.leader_session.SetDocumentBudget(1000);
+    f.leader_session.OnReport(reader_session.BuildReport(), &reader_state);
+    const StateUpdate update = f.leader_session.UpdateFor(&reader_state, true);
+    reader_session.OnUpdate(update);
+    f.loop.Advance(Milliseconds(150));
+    return update.config ? update.config->document.size() : 0;
+  };
+  exchange();
+  BOOST_TEST(reader.table.Version() == 3U);
+  f.store.Put("config", large);
+  follower_store.Put("config", large);
+  f.loop.Advance(Milliseconds(300));
+  size_t sent = 0;
+  for (int i = 0; i < 4; ++i) {
+    sent += exchange();
+  }
+  BOOST_TEST(sent == 0U);
+  BOOST_TEST(reader.table.Version() == 4U);
+  BOOST_TEST(follower_store.m_calls <= 2);
+  // An instance that the store turns away gets the document from the leader.
+  f.store.Put("config", std::string(200000, '0') + "5");
+  follower_store.m_down = true;
+  f.loop.Advance(Milliseconds(300));
+  for (int i = 0; i < 12; ++i) {
+    sent += exchange();
+  }
+  BOOST_TEST(sent > 200000U);
+  BOOST_TEST(sent < 210000U);
+  BOOST_TEST(reader.table.Version() == 5U);
+}
+
 // Guards against store calls that grow with the fleet.
 BOOST_AUTO_TEST_CASE(follower_with_a_leader_does_not_call_the_store) {
   Fixture f;
