Bound what a peer in trouble can send outside of a body, and inside an event

Cause: the client's read buffer had no limit, so that a chunk extension without end filled the memory; interim responses were skipped without a limit; an event without end was buffered until the deadline, and its bytes counted as progress; an error body above its limit was read on until the deadline. Change: a buffer limit of 40 KB, four interim responses, 256 KB for an event and 1 MB for an error body; only complete events are progress. Tests: http_client/endless_bytes_outside_a_body_end_the_call (eight kinds), endless_junk_after_an_answer_is_dropped; stream_exchange/event_without_end_..., dripping_bytes_are_silence, error_response_without_end_... Not run: the same against a whole process, from the store and from peers.

--- a/include/azuregw/forward/event_scanner.h
+++ b/include/azuregw/forward/event_scanner.h
@@ -23,6 +23,8 @@
 
   // Returns the ID of the last returned event that has one; nullopt if there was none.
   const std::optional<std::string>& LastId() const { return m_last_id; }
+  // Returns the number of buffered bytes.
+  size_t PendingBytes() const { return m_pending.size(); }
   // Returns whether bytes of an incomplete event are buffered.
   bool HasPartialEvent() const { return !m_pending.empty(); }
   // Discards the buffered bytes; LastId() stays.
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -48,6 +48,8 @@
 constexpr Milliseconds kMaxResumeWait{1200};
 // Limit of an error response that is buffered for the caller.
 constexpr size_t kMaxErrorBodyBytes = size_t{1} << 20;
+// Limit of one event of a stream; usual ones take a few hundred bytes.
+constexpr size_t kMaxEventBytes = size_t{256} << 10;
 
 }  // namespace
 
@@ -131,20 +133,33 @@
 
 void StreamExchange::OnBody(std::string_view bytes) {
   const TimePoint now = Now();
-  m_last_bytes = now;
   if (!m_streaming) {
-    if (m_response.body.size() + bytes.size() <= kMaxErrorBodyBytes && !m_head_sent) {
+    m_last_bytes = now;
+    m_error_body_bytes += bytes.size();
+    if (m_error_body_bytes > kMaxErrorBodyBytes) {
+      OnAttemptBroken("the error response is too large", m_path.hops.front().id);
+    } else if (!m_head_sent) {
       m_response.body.append(bytes);
     }
     return;
   }
+  const size_t pending = m_scanner.PendingBytes();
+  m_scanner.Push(bytes);
+  const std::string events =
+      m_scanner.TakeCompleteEvents(m_resumed ? ParseEventNumber(m_last_sent_id) : std::nullopt);
+  if (m_scanner.PendingBytes() == pending + bytes.size()) {
+    // Bytes that complete no event are no progress; the engine may send them without end.
+    if (m_scanner.PendingBytes() > kMaxEventBytes) {
+      OnAttemptBroken("an event is too large", m_path.hops.front().id);
+    }
+    return;
+  }
+  m_last_bytes = now;
   for (const PathHop& hop : m_path.hops) {
     m_context->fleet->OnProgress(hop.id, now);
   }
   m_context->monitor->OnEvent(this, now);
-  m_scanner.Push(bytes);
-  ForwardEvents(
-      m_scanner.TakeCompleteEvents(m_resumed ? ParseEventNumber(m_last_sent_id) : std::nullopt));
+  ForwardEvents(events);
 }
 
 void StreamExchange::OnDone() {
@@ -207,6 +222,7 @@
 void StreamExchange::StartAttempt(EnginePath path) {
   m_path = std::move(path);
   m_streaming = false;
+  m_error_body_bytes = 0;
   m_scanner.Clear();
   m_silence_checks = 0;
   m_resumed = m_head_sent;
--- a/src/forward/stream_exchange.h
+++ b/src/forward/stream_exchange.h
@@ -148,8 +148,9 @@
   std::shared_ptr<ClientCall> m_call;
   UpstreamResponse m_response_info;
   int m_attempt_status = 0;
-  bool m_streaming = false;  // The response is a sealed event stream.
-  bool m_resumed = false;    // The attempt resumes after `m_last_sent_id`.
+  size_t m_error_body_bytes = 0;  // Body bytes of a response that is no event stream.
+  bool m_streaming = false;       // The response is a sealed event stream.
+  bool m_resumed = false;         // The attempt resumes after `m_last_sent_id`.
   TimePoint m_attempt_started;
   TimePoint m_last_bytes;           // Time of the last bytes received, or of the start or reroute.
   int m_silence_checks = 0;         // Number of checks during the current silence.
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -32,6 +32,11 @@
 constexpr size_t kBodyBufferBytes = 8192;
 // Limit of an answer's header block; engines send a few hundred bytes.
 constexpr uint32_t kMaxResponseHeaderBytes = 32 * 1024;
+// Limit of the bytes that are buffered before they are parsed: a header block and one read of a
+// body. Without it, a chunk header without end would fill the memory.
+constexpr size_t kMaxBufferedBytes = kMaxResponseHeaderBytes + kBodyBufferBytes;
+// Interim responses (1xx) that are skipped before the connection is given up.
+constexpr int kMaxInterimResponses = 4;
 // Answers of other requests that are skipped before the connection is given up.
 constexpr int kMaxForeignAnswers = 3;
 // Kept connections per server. More than that are open only during bursts.
@@ -42,7 +47,7 @@
 struct Connection {
   explicit Connection(asio::io_context* loop) : socket(*loop) {}
   tcp::socket socket;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxBufferedBytes};
   TimePoint idle_since;
 };
 
@@ -91,6 +96,7 @@
   bool m_written = false;  // The whole request was written.
   bool m_foreign = false;  // The answer being read belongs to another request.
   int m_foreign_answers = 0;
+  int m_interim_responses = 0;
 };
 
 class BeastClient final : public HttpClient {
@@ -231,6 +237,10 @@
         }
         const int status = static_cast<int>(self->m_parser->get().result_int());
         if (status < 200) {
+          if (++self->m_interim_responses > kMaxInterimResponses) {
+            self->Fail("too many interim responses", true);
+            return;
+          }
           self->ReadHead();
           return;
         }
--- a/tests/fakes/scripted_server.h
+++ b/tests/fakes/scripted_server.h
@@ -28,7 +28,8 @@
     Act act = Act::kReply;
     int status = 200;
     std::string body;
-    std::string raw;  // Not empty: sent as it is, in place of an answer made from the above.
+    std::string raw;      // Not empty: sent as it is, in place of an answer made from the above.
+    std::string endless;  // Not empty: sent after `raw` again and again until the client closes.
   };
   // `index` counts requests from 0; `request` is the head and the body.
   using Script = std::function<Step(size_t index, const std::string& request)>;
@@ -107,8 +108,13 @@
                             : "HTTP/1.1 " + std::to_string(step.status) +
                                   " X\r\nContent-Type: application/json\r\nContent-Length: " +
                                   std::to_string(step.body.size()) + "\r\n\r\n" + step.body;
-      if (send(fd, reply.data(), reply.size(), MSG_NOSIGNAL) < 0 ||
-          step.act == Act::kReplyAndClose) {
+      const bool sent = send(fd, reply.data(), reply.size(), MSG_NOSIGNAL) >= 0;
+      if (sent && !step.endless.empty()) {
+        while (send(fd, step.endless.data(), step.endless.size(), MSG_NOSIGNAL) >= 0) {
+        }
+        break;
+      }
+      if (!sent || step.act == Act::kReplyAndClose) {
         break;
       }
     }
--- a/tests/forward/stream_exchange_test.cc
+++ b/tests/forward/stream_exchange_test.cc
@@ -150,6 +150,47 @@
   BOOST_TEST(f.client.calls.size() == 1U);
 }
 
+// An engine in trouble sends bytes without the end of an event. Guards against unbounded memory,
+// and against bytes that pass for progress.
+BOOST_AUTO_TEST_CASE(event_without_end_breaks_the_attempt) {
+  GatewayFixture f;
+  const auto exchange = f.Start("/stream/1");
+  f.Call(0).SendHead(200, true);
+  f.Call(0).SendBody(Event(1) + "data: ");
+  for (int i = 0; i < 100 && f.client.calls.size() < 2U; ++i) {
+    f.Call(0).SendBody(std::string(8192, 'x'));
+  }
+  BOOST_REQUIRE(f.client.calls.size() == 2U);
+  BOOST_TEST(f.Call(0).Cancelled());
+  BOOST_TEST(f.Call(1).request["After"] == "1");
+  BOOST_TEST(f.responder.body == Event(1));
+}
+
+// Guards against an engine that holds a stream open with one byte at a time.
+BOOST_AUTO_TEST_CASE(dripping_bytes_are_silence) {
+  GatewayFixture f;
+  const auto exchange = f.Start("/stream/1");
+  f.Call(0).SendHead(200, true);
+  f.Call(0).SendBody(Event(1));
+  for (int i = 0; i < 30 && f.client.calls.size() < 2U; ++i) {
+    f.loop.Advance(Milliseconds(100));
+    f.Call(0).SendBody("x");
+  }
+  BOOST_TEST(f.client.calls.size() == 2U);
+}
+
+// Guards against an error response without end, which would keep the exchange until the deadline.
+BOOST_AUTO_TEST_CASE(error_response_without_end_breaks_the_attempt) {
+  GatewayFixture f;
+  const auto exchange = f.Start("/stream/1");
+  f.Call(0).SendHead(500, true);
+  for (int i = 0; i < 300 && f.client.calls.size() < 2U; ++i) {
+    f.Call(0).SendBody(std::string(8192, 'x'));
+  }
+  BOOST_TEST(f.client.calls.size() == 2U);
+  BOOST_TEST(f.Call(0).Cancelled());
+}
+
 // Load pattern: engines short of memory. A healthy engine must not be suspected by the whole fleet.
 BOOST_AUTO_TEST_CASE(healthy_engine_that_refuses_is_full_and_not_suspect) {
   GatewayFixture f;
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -173,6 +173,56 @@
   BOOST_TEST(recorder.failure->protocol_error);
 }
 
+// A server in trouble sends bytes that are no answer until its client closes. Guards against a call
+// that never ends, and against a buffer that grows with them.
+BOOST_AUTO_TEST_CASE(endless_bytes_outside_a_body_end_the_call) {
+  struct Case {
+    const char* name;
+    std::string raw;
+    std::string endless;
+  };
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const Case cases[] = {
+      {"one line without end", "HTTP/1.1 200 OK\r\nX-A: ", std::string(4096, 'a')},
+      {"lines without end", "HTTP/1.1 200 OK\r\n", "X-A: " + std::string(50, 'a') + "\r\n"},
+      {"junk before a status line", "junk ", std::string(4096, 'j')},
+      {"interim responses", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"chunk extension", chunked + "3;x=", std::string(4096, 'x')},
+      {"chunk size", chunked, std::string(4096, '0')},
+      {"trailers", chunked + "0\r\n", "X-A: " + std::string(50, 'a') + "\r\n"},
+      {"one trailer", chunked + "0\r\nX-A: ", std::string(4096, 'a')},
+  };
+  for (const Case& test_case : cases) {
+    BOOST_TEST_CONTEXT(test_case.name) {
+      Fixture f([&test_case](size_t, const std::string&) {
+        ScriptedServer::Step step = Raw(test_case.raw);
+        step.endless = test_case.endless;
+        return step;
+      });
+      Recorder recorder;
+      f.Run(&recorder);
+      BOOST_TEST(recorder.failure.has_value());
+      BOOST_TEST(recorder.body.empty());
+    }
+  }
+}
+
+// Junk after a complete answer must not become part of the next one.
+BOOST_AUTO_TEST_CASE(endless_junk_after_an_answer_is_dropped) {
+  Fixture f([](size_t, const std::string&) {
+    ScriptedServer::Step step = Raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    step.endless = std::string(4096, 'j');
+    return step;
+  });
+  for (int i = 0; i < 2; ++i) {
+    Recorder recorder;
+    f.Run(&recorder);
+    BOOST_TEST(recorder.done);
+    BOOST_TEST(recorder.body == "ok");
+  }
+  BOOST_TEST(f.client->ConnectionsOpened() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(chunked_bodies_are_passed_on_decoded) {
   Fixture f([](size_t, const std::string&) {
     return Raw(
