--- a/include/azuregw/fleet/link_load.h
+++ b/include/azuregw/fleet/link_load.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 
 #include "azuregw/base/clock.h"
 
--- a/src/fleet/path_selector.cc
+++ b/src/fleet/path_selector.cc
@@ -254,7 +254,8 @@
             cost += entry_domain == candidate.domain ? kLocalHopMs : profile.zone_delay_ms;
           } else {
             const LinkCost& link =
-                links[static_cast<size_t>(previous * domain_count + candidate.domain)];
+                links[static_cast<size_t>(previous) * static_cast<size_t>(domain_count) +
+                      static_cast<size_t>(candidate.domain)];
             if (link.load > query.max_link_load && !ignore_load) {
               continue;
             }
--- a/src/sync/sync_sessions.h
+++ b/src/sync/sync_sessions.h
@@ -8,6 +8,7 @@
 #ifndef AZUREGW_SYNC_SYNC_SESSIONS_H_
 #define AZUREGW_SYNC_SYNC_SESSIONS_H_
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <string>
