Wait for the only holder of layers when it is merely short of memory

Cause: found when reading the change. A stream whose only holder of some layers had just refused it for lack of memory saw the layers as uncovered, and since uncovered layers are refused at once, it was refused with a free place 200 ms away; the fallback to suspected engines also sent to engines known as full. Change: engines that are full count as holders when the reason is determined, the fallback excludes them, and a stream that excluded engines waits. Test: stream_exchange/only_holder_that_is_full_is_waited_for (fails before).

--- a/include/azuregw/fleet/fleet.h
+++ b/include/azuregw/fleet/fleet.h
@@ -84,9 +84,8 @@
   bool Usable(TimePoint now) const {
     return !record.draining && now >= suspect_until && now >= full_until;
   }
-  // Returns whether new requests may be sent if no usable upstream can serve them: the upstream may
-  // be failing or short of memory, but it responds.
-  bool UsableAsLastResort(TimePoint now) const { return !record.draining && now >= stopped_until; }
+  // Returns whether the upstream responds, although it may be failing or short of memory.
+  bool Responds(TimePoint now) const { return !record.draining && now >= stopped_until; }
 };
 
 // Change of an upstream between two lists.
--- a/include/azuregw/fleet/path_selector.h
+++ b/include/azuregw/fleet/path_selector.h
@@ -52,7 +52,7 @@
   std::optional<PathHop> first_hop;
   double max_load = 1;        // Maximum KV memory load of an engine, including this request.
   double max_slowdown = 1e9;  // Maximum slowdown factor of an engine.
-  // Engines that are suspected of failing, or refused work for lack of memory, may be used.
+  // Engines that are suspected of failing may be used if they respond.
   bool allow_suspects = false;
   double max_link_load = 1;  // Maximum utilization of a link, including this request.
   // Maximum random fraction added to costs, so that instances with the same view of the load do not
--- a/src/fleet/path_selector.cc
+++ b/src/fleet/path_selector.cc
@@ -61,6 +61,14 @@
   double backlog_ms;  // Cost of the prompts that wait at the engine.
 };
 
+// Returns whether the path may contain an engine. With `ignore_load`, engines that are short of
+// memory count as well, because they will have some again.
+bool MayUse(const Upstream& upstream, const PathQuery& query, bool ignore_load) {
+  return upstream.Responds(query.now) &&
+         (query.allow_suspects || query.now >= upstream.suspect_until) &&
+         (ignore_load || query.now >= upstream.full_until);
+}
+
 // Returns the number of running requests at an upstream.
 double Requests(const Upstream& upstream, const PathQuery& query) {
   return query.assumed_instances > 0
@@ -215,9 +223,8 @@
     const UpstreamRecord& record = upstream.record;
     const double slowdown = query.now < upstream.slowdown_until ? upstream.slowdown : 1;
     if (record.service != query.service || !record.layers || slowdown > query.max_slowdown ||
-        !(query.allow_suspects ? upstream.UsableAsLastResort(query.now)
-                               : upstream.Usable(query.now)) ||
-        query.excluded.count(id) > 0 || (query.first_hop && query.first_hop->id == id)) {
+        !MayUse(upstream, query, ignore_load) || query.excluded.count(id) > 0 ||
+        (query.first_hop && query.first_hop->id == id)) {
       continue;
     }
     const int held = record.layers->last - record.layers->first;
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -102,11 +102,13 @@
     // for example because they lose a part of their responses.
     query.allow_suspects = true;
     path = m_context->paths->Choose(*m_context->fleet, query, &m_path_error);
-    if (!path) {
-      m_excluded_engines.clear();
-    }
   }
   if (!path) {
+    if (!m_excluded_engines.empty()) {
+      // The engines that refused this request may have memory at the next try.
+      m_excluded_engines.clear();
+      m_path_error = PathError::kNoCapacity;
+    }
     return false;
   }
   m_wait_timer.reset();
--- a/tests/forward/stream_exchange_test.cc
+++ b/tests/forward/stream_exchange_test.cc
@@ -150,6 +150,25 @@
   BOOST_TEST(f.client.calls.size() == 1U);
 }
 
+// Load pattern: the only holder of some layers is short of memory for a moment. Guards against
+// refusing the stream at once, as if no engine held the layers, and against asking it in a loop.
+BOOST_AUTO_TEST_CASE(only_holder_that_is_full_is_waited_for) {
+  GatewayFixture f;
+  for (const char* id : {"low1", "low2"}) {
+    f.fleet.MarkStopped(id, Milliseconds(10000), f.loop.Now());
+  }
+  const auto exchange = f.Start("/stream/1");
+  BOOST_REQUIRE(f.client.calls.size() == 1U);
+  f.fleet.OnProgress("low0", f.loop.Now());
+  f.Call(0).Respond(503, "", false, true);
+  BOOST_TEST(f.client.calls.size() == 1U);
+  BOOST_TEST(f.queue.Size() == 1);
+  BOOST_TEST(f.responder.status == 0);
+  f.loop.Advance(Milliseconds(280));
+  f.queue.StartEligible(f.loop.Now());
+  BOOST_TEST(f.client.calls.size() == 2U);
+}
+
 // An engine in trouble sends bytes without the end of an event. Guards against unbounded memory,
 // and against bytes that pass for progress.
 BOOST_AUTO_TEST_CASE(event_without_end_breaks_the_attempt) {
