Read the list of upstreams earlier where the bound for leaving ones is large

A follower without its leader called the store when 0.5 s of the bound were left; 295 followers that read the list and a configuration of 400 KB at once wait longer than that. Change: 0.35 of the bound is left for the call (1.4 s here), 0.5 s at least. Test: sync_sessions/follower_with_a_large_bound_reads_the_list_early.

--- a/src/sync/upstream_lister.cc
+++ b/src/sync/upstream_lister.cc
@@ -2,6 +2,7 @@
 
 #include "azuregw/sync/upstream_lister.h"
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -27,6 +28,16 @@
   return "unknown";
 }
 
+// Part of the leaving bound that is left for an own call to the store. Deployments with a large
+// bound have many instances, which all call the store when they lose the leader.
+constexpr double kRelayMarginFraction = 0.35;
+
+Milliseconds RelayMargin(Milliseconds leaving_bound) {
+  return std::max(UpstreamLister::kRelayMargin,
+                  Milliseconds(static_cast<int64_t>(kRelayMarginFraction *
+                                                    static_cast<double>(leaving_bound.count()))));
+}
+
 }  // namespace
 
 std::optional<Milliseconds> UpstreamLister::Age() const {
@@ -52,7 +63,7 @@
 
 void UpstreamLister::RunNextStep() {
   if (!m_relaying && m_relay_confirmed &&
-      m_loop->Now() - *m_relay_confirmed < m_leaving_bound - kRelayMargin) {
+      m_loop->Now() - *m_relay_confirmed < m_leaving_bound - RelayMargin(m_leaving_bound)) {
     m_timer = m_loop->After(kRelayCheckInterval, [this] { RunNextStep(); });
     return;
   }
--- a/tests/sync/sync_sessions_test.cc
+++ b/tests/sync/sync_sessions_test.cc
@@ -224,6 +224,24 @@
   BOOST_TEST((*f.follower.lister.Age() >= Milliseconds(2500)));
 }
 
+// Load pattern: 295 instances lose the leader while a large configuration is read, so that the
+// store takes over a second to answer (dathanna large trouble-1: requests reached engines up to 4.0
+// s after they said that they leave). The own call must begin early enough for it.
+BOOST_AUTO_TEST_CASE(follower_with_a_large_bound_reads_the_list_early) {
+  Fixture f;
+  f.follower.lister.SetLeavingBound(Milliseconds(4000));
+  f.follower.watcher.Start();
+  f.follower.lister.Start();
+  f.ExchangeFor(Milliseconds(3000));
+  const TimePoint last = *f.follower.lister.Confirmed();
+  f.store.Put("up/e1", "draining");
+  while (*f.follower.lister.Confirmed() == last && f.loop.Now() - last < Milliseconds(5000)) {
+    f.loop.Advance(Milliseconds(50));
+  }
+  BOOST_TEST(f.follower.fleet.Find("e1")->record.draining);
+  BOOST_TEST((f.loop.Now() - last <= Milliseconds(2800)));
+}
+
 // Guards against a follower that waits for a silent leader until its configuration is stale.
 BOOST_AUTO_TEST_CASE(follower_reads_the_store_when_the_leader_is_silent) {
   Fixture f;
