Take test ports from below the range of outgoing connections

Change: ports from 16000 to 31999, each checked and given once per process. Ruled out: a port given twice by the test itself (the addresses differ).

--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -11,6 +11,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <atomic>
+#include <cstdint>
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
@@ -27,6 +29,10 @@
 
 constexpr milliseconds kPollInterval{5};
 constexpr milliseconds kCommandLimit{30000};
+// Ports below the range that the kernel uses for outgoing connections. A port of that range can be
+// taken by any connection between its choice here and the start of the process that listens on it.
+constexpr uint16_t kFirstTestPort = 16000;
+constexpr uint32_t kTestPorts = 16000;
 
 }  // namespace
 
@@ -111,15 +117,20 @@
 }
 
 std::string FreeAddress() {
-  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t length = sizeof(address);
-  ::bind(fd, reinterpret_cast<sockaddr*>(&address), length);
-  ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
-  ::close(fd);
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  static std::atomic<uint32_t> next{static_cast<uint32_t>(::getpid()) * 97};
+  while (true) {
+    const auto port = static_cast<uint16_t>(kFirstTestPort + next++ % kTestPorts);
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    const bool free = ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    ::close(fd);
+    if (free) {
+      return "127.0.0.1:" + std::to_string(port);
+    }
+  }
 }
 
 bool WaitUntil(const std::function<bool()>& condition, milliseconds limit) {
