Log which prompts an engine was working on when it exited

No line told whether an engine had exited or only a connection had ended, how far an answer had got on that engine, or what its prompt had in common with others.

Cause of the gap: the list of prompt parts passed through unread, and last_event counts the events of earlier engines as well.

Change: the adapter decodes the parts that requests can share. No decision uses any of it yet.

Why it works: parts that recur in lines without events separate hypothesis 1 (a request carries the crash) from 2 (overload) and 3 (engines that end alone).

--- a/include/azuregw/forward/event_scanner.h
+++ b/include/azuregw/forward/event_scanner.h
@@ -27,12 +27,18 @@
   size_t PendingBytes() const { return m_pending.size(); }
   // Returns whether bytes of an incomplete event are buffered.
   bool HasPartialEvent() const { return !m_pending.empty(); }
-  // Discards the buffered bytes; LastId() stays.
-  void Clear() { m_pending.clear(); }
+  // Returns the number of events returned since the last Clear().
+  int Events() const { return m_events; }
+  // Discards the buffered bytes and resets Events(); LastId() stays.
+  void Clear() {
+    m_pending.clear();
+    m_events = 0;
+  }
 
  private:
   std::string m_pending;  // Bytes received after the last returned event.
   std::optional<std::string> m_last_id;
+  int m_events = 0;  // Number of events returned since the last Clear().
 };
 
 // Returns the value of an event ID of 1 to 18 decimal digits; nullopt for any other text.
--- a/include/azuregw/forward/exchange.h
+++ b/include/azuregw/forward/exchange.h
@@ -15,6 +15,7 @@
 #include "azuregw/fleet/fleet.h"
 #include "azuregw/fleet/path_selector.h"
 #include "azuregw/fleet/stream_monitor.h"
+#include "azuregw/forward/engine_exit_checker.h"
 #include "azuregw/forward/gateway_settings.h"
 #include "azuregw/forward/wire_protocol.h"
 #include "azuregw/logging/event_log.h"
@@ -38,6 +39,7 @@
   SharedRetryBudget* budget = nullptr;
   const WireProtocol* wire = nullptr;
   EngineControl* engines = nullptr;
+  EngineExitChecker* exits = nullptr;
   EventLog* log = nullptr;
   Metrics* metrics = nullptr;
   Random* random = nullptr;
--- a/include/azuregw/forward/wire_protocol.h
+++ b/include/azuregw/forward/wire_protocol.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "azuregw/base/clock.h"
 #include "azuregw/fleet/path_selector.h"
@@ -24,6 +25,8 @@
   double prompt_tokens = 0;
   double max_answer_tokens = 0;                  // 0: not stated.
   std::optional<double> expected_answer_tokens;  // Estimate by the caller; accurate at the median.
+  // IDs of the parts of the prompt that other requests may contain as well, in order.
+  std::vector<std::string> shared_parts;
 };
 
 // Metadata sent to an upstream in addition to the caller's header fields.
--- a/src/forward/event_scanner.cc
+++ b/src/forward/event_scanner.cc
@@ -68,6 +68,7 @@
       m_last_id = id;
     }
     whole.append(event);
+    ++m_events;
   }
   m_pending.erase(0, consumed);
   return whole;
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -73,6 +73,8 @@
                  m_log.get()),
         m_engine_health_checker(m_loop.get(), &m_fleet, &m_monitor, m_platform.engines.get(),
                                 m_log.get()),
+        m_exit_checker(m_loop.get(), &m_fleet, m_platform.engines.get(), m_log.get(),
+                       m_metrics.get()),
         m_signals(m_io, SIGTERM, SIGINT, SIGHUP) {
     m_context.loop = m_loop.get();
     m_context.client = m_client.get();
@@ -84,6 +86,7 @@
     m_context.budget = &m_budget;
     m_context.wire = m_platform.wire.get();
     m_context.engines = m_platform.engines.get();
+    m_context.exits = &m_exit_checker;
     m_context.log = m_log.get();
     m_context.metrics = m_metrics.get();
     m_context.random = m_random.get();
@@ -305,6 +308,7 @@
   LeaderLease m_leader_lease;
   LayoutController m_layout;
   EngineHealthChecker m_engine_health_checker;
+  EngineExitChecker m_exit_checker;
   asio::signal_set m_signals;
   ForwardContext m_context;
   std::unique_ptr<CallerListener> m_listener;
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -170,7 +170,7 @@
     return;
   }
   if (m_scanner.HasPartialEvent()) {
-    OnAttemptBroken("the stream ended within an event", m_path.hops.front().id);
+    OnConnectionEnded("the stream ended within an event");
     return;
   }
   EndAttempt();
@@ -195,7 +195,7 @@
     Retry(failure.reason, false);
     return;
   }
-  OnAttemptBroken(failure.reason, first);
+  OnConnectionEnded(failure.reason);
 }
 
 void StreamExchange::AddDetails(nlohmann::ordered_json* line) const {
@@ -381,6 +381,24 @@
   Retry(reason, true);
 }
 
+void StreamExchange::OnConnectionEnded(const std::string& reason) {
+  const std::string first = m_path.hops.front().id;
+  m_context->exits->Check(first,
+                          [log = m_context->log, id = m_caller.id, parts = m_caller.shared_parts,
+                           events = m_scanner.Events(), first](bool exited, int64_t started_ms) {
+                            if (exited) {
+                              log->Write("engine_exited_under_request",
+                                         {{"request_id", id},
+                                          {"upstream", first},
+                                          {"started_ms", started_ms},
+                                          {"events", events},
+                                          {"parts", parts}},
+                                         true);
+                            }
+                          });
+  OnAttemptBroken(reason, first);
+}
+
 void StreamExchange::Retry(const std::string& reason, bool counted) {
   const bool proved_not_run = m_sends == 0;
   const bool may_retry =
@@ -484,6 +502,7 @@
                          {"outcome", outcome},
                          {"reason", reason},
                          {"last_event", m_last_sent_id.value_or("")},
+                         {"attempt_events", m_scanner.Events()},
                          {"sends", m_sends},
                          {"took_ms", took.count()}},
                         true);
--- a/src/forward/stream_exchange.h
+++ b/src/forward/stream_exchange.h
@@ -96,6 +96,9 @@
   // suspected.
   void OnAttemptBroken(const std::string& reason, const std::string& engine);
 
+  // Handles the end of the connection to the first engine before the response was complete.
+  void OnConnectionEnded(const std::string& reason);
+
   // Sends the request again if route, deadline and limits allow it; ends the exchange otherwise.
   // `counted`: the send consumes the retry budget.
   void Retry(const std::string& reason, bool counted);
--- /dev/null
+++ b/tests/platform/header_protocol_test.cc
@@ -0,0 +1,41 @@
+// Tests of the header fields of requests and responses.
+
+#include "platform/header_protocol.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+namespace azuregw::platform {
+namespace {
+
+std::vector<std::string> SharedParts(const std::vector<std::string>& lists) {
+  HttpFields fields;
+  for (const std::string& list : lists) {
+    fields.insert("X-Prompt-Prefix", list);
+  }
+  return MakeHeaderProtocol()->ReadCaller(fields).shared_parts;
+}
+
+BOOST_AUTO_TEST_SUITE(header_protocol)
+
+// Guards against a part that belongs to one request being taken for one that others share.
+BOOST_AUTO_TEST_CASE(last_prompt_part_is_not_shared) {
+  const std::vector<std::string> expected = {"5c1e07a2", "91bd3f06"};
+  BOOST_TEST(SharedParts({"5c1e07a2:800,91bd3f06:410,e4402b7d:250"}) == expected);
+  BOOST_TEST(SharedParts({"e4402b7d:250"}).empty());
+  BOOST_TEST(SharedParts({""}).empty());
+  BOOST_TEST(SharedParts({}).empty());
+}
+
+// Guards against two spellings of one part that are counted apart.
+BOOST_AUTO_TEST_CASE(prompt_parts_are_normalized) {
+  const std::vector<std::string> expected = {"5c1e07a2", "91bd3f06"};
+  BOOST_TEST(SharedParts({" 5C1E07A2:800 , 91bd3f06 , :7 , e4402b7d:250"}) == expected);
+  BOOST_TEST(SharedParts({"5c1e07a2:800,91bd3f06:410", "e4402b7d:250"}) == expected);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace azuregw::platform
--- a/tests/support/fake_gateway.h
+++ b/tests/support/fake_gateway.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -132,6 +133,10 @@
     }
     request.prompt_tokens = 760;
     request.max_answer_tokens = 200;
+    std::istringstream parts{std::string(fields["Parts"])};
+    for (std::string part; parts >> part;) {
+      request.shared_parts.push_back(part);
+    }
     return request;
   }
   void WriteForwardedHeaders(const ForwardedRequest& request, HttpFields* fields) const override {
@@ -226,6 +231,7 @@
     budget.SetInstances(10, loop.Now());
     context.wire = &wire;
     context.engines = &engines;
+    context.exits = &exits;
     context.log = &log;
     context.metrics = metrics.get();
     context.random = random.get();
@@ -233,13 +239,15 @@
     context.assumed_instances = 0;
   }
 
-  // Starts an exchange for a request to `target`.
-  std::unique_ptr<ForwardExchange> Start(const std::string& target) {
+  // Starts an exchange for a request to `target`. `parts`: the shared parts of its prompt,
+  // separated by blanks.
+  std::unique_ptr<ForwardExchange> Start(const std::string& target, const std::string& parts = "") {
     IncomingRequest request;
     request.message = HttpRequest(boost::beast::http::verb::post, target, 11);
     request.message.set("Host", "h");
     request.message.set("Id", "r1");
     request.message.set("Key", "k");
+    request.message.set("Parts", parts);
     request.message.body() = "payload";
     request.arrived = loop.Now();
     auto exchange = MakeExchange(&context, std::move(request), &responder);
@@ -269,6 +277,7 @@
   FakeEngineControl engines;
   FakeLog log;
   std::unique_ptr<Metrics> metrics = MakeMetrics();
+  EngineExitChecker exits{&loop, &fleet, &engines, &log, metrics.get()};
   RecordingResponder responder;
   ForwardContext context;
 
