Do not take the exit of an engine for the end of an unframed stream

What callers would see: a stream that states neither a length nor chunks and whose engine exits between two events, or before the first one, arrived as complete. For a prompt that crashes engines, the empty answer would also have cleared its parts.

Evidence: two new tests failed on: stream_exchange/unframed_stream_without_events_is_not_complete and stream_exchange/unframed_stream_of_an_exited_engine_resumes.

The fake upstream of the tests frames its responses unless a test says otherwise.

Why it works: a finished stream leaves a running engine behind, a crash does not. A stream that a running engine cuts between two events still looks complete; the protocol offers nothing to tell that apart.

--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -130,6 +130,8 @@
     return false;
   }
   m_attempt_status = status;
+  m_framed = head.count(boost::beast::http::field::transfer_encoding) > 0 ||
+             head.count(boost::beast::http::field::content_length) > 0;
   m_streaming = status == 200 && m_response_info.sealed && !m_response_info.not_run;
   m_last_bytes = Now();
   if (!m_head_sent) {
@@ -183,6 +185,29 @@
     OnConnectionEnded("the stream ended within an event");
     return;
   }
+  if (m_framed) {
+    CompleteStream();
+    return;
+  }
+  if (m_scanner.Events() == 0) {
+    OnConnectionEnded("the connection ended without an event");
+    return;
+  }
+  EndAttempt();
+  m_context->exits->Check(m_path.hops.front().id, [this, alive = std::weak_ptr<int>(m_alive)](
+                                                      bool exited, int64_t /*started_ms*/) {
+    if (alive.expired() || Closed()) {
+      return;
+    }
+    if (exited) {
+      OnConnectionEnded("the engine exited between two events");
+    } else {
+      CompleteStream();
+    }
+  });
+}
+
+void StreamExchange::CompleteStream() {
   RecordAnswer();
   EndAttempt();
   if (!m_head_sent) {
--- a/src/forward/stream_exchange.h
+++ b/src/forward/stream_exchange.h
@@ -90,6 +90,9 @@
   // Sends complete events to the caller, after the response header if it is not sent yet.
   void ForwardEvents(const std::string& events);
 
+  // Ends the response to the caller as complete.
+  void CompleteStream();
+
   // Handles a response that is not an event stream: a refusal or an error.
   void OnNonStreamResponse();
 
@@ -166,8 +169,11 @@
   std::shared_ptr<ClientCall> m_call;
   UpstreamResponse m_response_info;
   int m_attempt_status = 0;
-  size_t m_error_body_bytes = 0;   // Body bytes of a response that is no event stream.
-  bool m_streaming = false;        // The response is a sealed event stream.
+  size_t m_error_body_bytes = 0;  // Body bytes of a response that is no event stream.
+  bool m_streaming = false;       // The response is a sealed event stream.
+  // The response states where it ends. Otherwise it ends with the connection, also if the engine
+  // exits between two events.
+  bool m_framed = false;
   bool m_answer_recorded = false;  // RecordAnswer() was called.
   bool m_resumed = false;          // The attempt resumes after `m_last_sent_id`.
   TimePoint m_attempt_started;
--- a/tests/forward/stream_exchange_test.cc
+++ b/tests/forward/stream_exchange_test.cc
@@ -60,6 +60,44 @@
   BOOST_TEST(f.client.calls.size() == 2U);
 }
 
+// Guards against the end of a connection that is taken for the end of the stream.
+BOOST_AUTO_TEST_CASE(unframed_stream_without_events_is_not_complete) {
+  GatewayFixture f;
+  const auto exchange = f.Start("/stream/1");
+  f.Call(0).framed = false;
+  f.Call(0).SendHead(200, true);
+  f.Call(0).Finish();
+  BOOST_TEST(!f.responder.complete);
+  BOOST_REQUIRE(f.client.calls.size() == 2U);
+}
+
+// Guards against a stream that ends between two events because its engine exited.
+BOOST_AUTO_TEST_CASE(unframed_stream_of_an_exited_engine_resumes) {
+  GatewayFixture f;
+  const auto exchange = f.Start("/stream/1");
+  f.Call(0).framed = false;
+  f.Call(0).SendHead(200, true);
+  f.Call(0).SendBody(Event(1) + Event(2));
+  f.engines.silent = true;
+  f.Call(0).Finish();
+  BOOST_TEST(!f.responder.complete);
+  BOOST_REQUIRE(f.client.calls.size() == 2U);
+  BOOST_TEST(f.Call(1).request["After"] == "2");
+}
+
+BOOST_AUTO_TEST_CASE(unframed_stream_of_a_running_engine_is_complete) {
+  GatewayFixture f;
+  const auto exchange = f.Start("/stream/1");
+  f.Call(0).framed = false;
+  f.Call(0).SendHead(200, true);
+  f.Call(0).SendBody(Event(1) + Event(2));
+  f.Call(0).Finish();
+  BOOST_TEST(f.responder.complete);
+  BOOST_TEST(f.responder.ends == 1);
+  BOOST_TEST(f.client.calls.size() == 1U);
+  BOOST_TEST(f.Reserved() == 0);
+}
+
 // The stream must not be sent to more engines than the route allows, and must not end as complete.
 BOOST_AUTO_TEST_CASE(stream_that_breaks_again_is_aborted) {
   GatewayFixture f;
--- a/tests/support/fake_gateway.h
+++ b/tests/support/fake_gateway.h
@@ -42,6 +42,9 @@
     if (not_run) {
       head.set("Not-Run", "1");
     }
+    if (framed) {
+      head.set("Transfer-Encoding", "chunked");
+    }
     if (m_handler != nullptr) {
       m_handler->OnHead(head);
     }
@@ -73,6 +76,7 @@
 
   const HttpCallOptions options;
   const HttpRequest request;
+  bool framed = true;  // The response states its end; otherwise it ends with the connection.
 
  private:
   HttpCallHandler* m_handler;
