Keep the quarantined parts in the store

What callers would see: after all instances were killed at once, requests with a part that was known to crash engines reach engines again until it is identified anew. An operator had no way to lift a quarantine.

Cause: the evidence was in the memory of the instances alone; a leader rebuilds it from its followers, which a loss of all does not leave.

Change: QuarantineStore. The leader writes the crashes of quarantined parts to azuregw/quarantine when they change; each instance reads the key once at its start, in parallel with the configuration, before it accepts callers (800 ms at most, as for the configuration). While something is stored, the leader reads the key each 5 s; if it was deleted, all quarantines are lifted everywhere.

Calm instances call the store once more at their start.

Why it works: the store outlives the instances, the write is conditional on what the writer has read, and merging evidence from it is idempotent.

--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -19,6 +19,7 @@
 #include "azuregw/placement/layout_controller.h"
 #include "azuregw/placement/leader_lease.h"
 #include "azuregw/sync/config_watcher.h"
+#include "azuregw/sync/quarantine_store.h"
 #include "azuregw/sync/state_exchange.h"
 #include "azuregw/sync/upstream_lister.h"
 #include "forward/engine_health_checker.h"
@@ -31,6 +32,7 @@
 // Port of the metrics endpoint; must match deploy/system.toml.
 constexpr uint16_t kMetricsPort = 9464;
 constexpr char kLeaderLeaseKey[] = "azuregw/layout";
+constexpr char kQuarantineKey[] = "azuregw/quarantine";
 // Longest delay of a watch event after the last confirmation of the watch. A store that compacts
 // its history may be silent for 1 s.
 constexpr Milliseconds kMaxWatchDelay{1000};
@@ -70,6 +72,8 @@
                  &m_store_retry, m_log.get()),
         m_leader_lease(m_loop.get(), m_platform.store.get(), m_random.get(), m_log.get(),
                        kLeaderLeaseKey, settings.name + " " + EndpointText(settings.peer_address)),
+        m_quarantine_store(m_loop.get(), &SystemClock(), m_platform.store.get(), &m_quarantine,
+                           m_log.get(), kQuarantineKey),
         m_layout(m_loop.get(), &m_leader_lease, &m_routes, &m_fleet, m_platform.engines.get(),
                  m_log.get()),
         m_engine_health_checker(m_loop.get(), &m_fleet, &m_monitor, m_platform.engines.get(),
@@ -144,6 +148,7 @@
     m_leader_lease.SetCpuShares(m_context.settings.cpu_share, std::nullopt);
     m_config_watcher.Start();
     m_lister.Start();
+    m_quarantine_store.Start();
     m_leader_lease.Start();
     m_layout.Start();
     m_exchange->Start();
@@ -212,11 +217,11 @@
     return {200, "text/plain; version=0.0.4", m_metrics->PrometheusText()};
   }
 
-  // Leaves connections in the listen backlog until the configuration is known, because a refusal
-  // would use up the caller's next attempt. Callers abandon a connection that is not read for 1 s,
-  // so the wait is limited to kMaxConfigWait.
+  // Leaves connections in the listen backlog until the state in the store is known, because a
+  // refusal would use up the caller's next attempt. Callers abandon a connection that is not read
+  // for 1 s, so the wait is limited to kMaxConfigWait.
   void AcceptWhenConfigured() {
-    const bool known = m_routes.Version() > 0 && m_lister.Age();
+    const bool known = m_routes.Version() > 0 && m_lister.Age() && m_quarantine_store.Started();
     if (known || m_loop->Now() - m_started > kMaxConfigWait) {
       m_listener->Accept();
       return;
@@ -236,6 +241,7 @@
         m_store_retry.SetInstances(m_last_instances);
       }
       m_quarantine.SetTrialsAllowed(m_leader_lease.Held());
+      m_quarantine_store.SetLeading(m_leader_lease.Held());
       LogQuarantine();
       if (m_queue.Size() > 0) {
         m_queue.StartEligible(m_loop->Now());
@@ -331,6 +337,7 @@
   ConfigWatcher m_config_watcher;
   UpstreamLister m_lister;
   LeaderLease m_leader_lease;
+  QuarantineStore m_quarantine_store;
   LayoutController m_layout;
   EngineHealthChecker m_engine_health_checker;
   EngineExitChecker m_exit_checker;
--- /dev/null
+++ b/src/sync/quarantine_store.cc
@@ -0,0 +1,145 @@
+// Reads, writes and decodes the stored quarantine.
+
+#include "azuregw/sync/quarantine_store.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <map>
+#include <nlohmann/json.hpp>
+
+namespace azuregw {
+namespace {
+
+using nlohmann::json;
+
+uint64_t ParseId(const std::string& text) { return std::strtoull(text.c_str(), nullptr, 16); }
+
+std::set<std::pair<PartId, ProcessId>> Ids(gsl::span<const CrashReport> crashes) {
+  std::set<std::pair<PartId, ProcessId>> ids;
+  for (const CrashReport& crash : crashes) {
+    ids.emplace(crash.part, crash.process);
+  }
+  return ids;
+}
+
+}  // namespace
+
+void QuarantineStore::Start() {
+  Read(ReadMode::kBounded, false);
+  Tick();
+}
+
+void QuarantineStore::SetLeading(bool leading) {
+  m_loaded = m_loaded && leading;
+  m_leading = leading;
+}
+
+void QuarantineStore::Tick() {
+  m_timer = m_loop->After(kTickInterval, [this] { Tick(); });
+  if (!m_leading || m_calling) {
+    return;
+  }
+  const TimePoint now = m_loop->Now();
+  if (!m_loaded) {
+    Read(ReadMode::kNewest, false);
+    return;
+  }
+  if (m_seen_version != m_quarantine->Version()) {
+    m_seen_version = m_quarantine->Version();
+    if (Ids(Crashes()) != m_stored) {
+      Write();
+      return;
+    }
+  }
+  if (!m_stored.empty() && now - m_last_read > kLiftCheckInterval) {
+    Read(ReadMode::kBounded, true);
+  }
+}
+
+void QuarantineStore::Read(ReadMode mode, bool lift) {
+  m_calling = true;
+  m_last_read = m_loop->Now();
+  m_store->Get(m_key, mode, [this, mode, lift](Result<KvReading> reading) {
+    m_calling = false;
+    m_started = true;
+    if (!reading) {
+      return;  // The next tick of a leader reads again.
+    }
+    const auto& entry = reading.value().entry;
+    if (lift && !entry) {
+      m_log->Write("prompt_quarantine_lifted", {{"key", m_key}}, true);
+      m_quarantine->LiftAll(m_loop->Now());
+    }
+    if (mode == ReadMode::kNewest || lift) {
+      m_revision = entry ? entry->revision : 0;
+      m_stored.clear();
+      m_loaded = m_leading;
+    }
+    if (entry) {
+      PromptEvidence evidence;
+      evidence.crashes = Decode(entry->value);
+      m_stored = Ids(evidence.crashes);
+      m_quarantine->Merge(evidence, m_loop->Now());
+    }
+  });
+}
+
+void QuarantineStore::Write() {
+  m_calling = true;
+  const std::vector<CrashReport> crashes = Crashes();
+  m_store->CompareAndSwap(m_key, m_revision, Encode(crashes), 0,
+                          [this, ids = Ids(crashes)](Result<uint64_t> revision) {
+                            m_calling = false;
+                            if (revision) {
+                              m_revision = revision.value();
+                              m_stored = ids;
+                              return;
+                            }
+                            // Another leader may have written, or this write may still be done.
+                            m_loaded = false;
+                            m_seen_version = 0;
+                          });
+}
+
+std::vector<CrashReport> QuarantineStore::Crashes() const {
+  const TimePoint now = m_loop->Now();
+  const std::map<PartId, int> quarantined = m_quarantine->Quarantined(now);
+  std::vector<CrashReport> crashes = m_quarantine->Evidence(now).crashes;
+  crashes.erase(
+      std::remove_if(crashes.begin(), crashes.end(),
+                     [&](const CrashReport& crash) { return quarantined.count(crash.part) == 0; }),
+      crashes.end());
+  return crashes;
+}
+
+std::string QuarantineStore::Encode(gsl::span<const CrashReport> crashes) const {
+  const int64_t now_ms = m_clock->WallMs();
+  json list = json::array();
+  for (const CrashReport& crash : crashes) {
+    list.push_back({{"part", PartName(crash.part)},
+                    {"process", PartName(crash.process)},
+                    {"unix_ms", now_ms - crash.age.count()}});
+  }
+  return json{{"crashes", list}}.dump();
+}
+
+std::vector<CrashReport> QuarantineStore::Decode(std::string_view document) const {
+  std::vector<CrashReport> crashes;
+  const int64_t now_ms = m_clock->WallMs();
+  try {
+    const json root = json::parse(document);
+    for (const json& crash : root.at("crashes")) {
+      const int64_t age = now_ms - crash.at("unix_ms").get<int64_t>();
+      // Clocks of instances differ, and may jump.
+      crashes.push_back(
+          {ParseId(crash.at("part").get<std::string>()),
+           ParseId(crash.at("process").get<std::string>()),
+           Milliseconds(std::clamp<int64_t>(age, 0, PromptQuarantine::kEvidenceTtl.count()))});
+    }
+  } catch (const json::exception& error) {
+    m_log->Write("prompt_quarantine_unreadable", {{"key", m_key}, {"reason", error.what()}}, true);
+  }
+  return crashes;
+}
+
+}  // namespace azuregw
