Play prompts that crash engines in the soak

Tests of decisions cannot show how instances, store and engines act together while instances restart, the store is away and ordinary crashes take engines.

Cause of the gap: the stand-in engines never ended because of a request, and no test counted what reaches engines over all instances.

Change: the stand-in engine exits when it begins an answer to a prompt with the bad part, and is back 1.5 s later. soak/prompts_that_crash_engines_are_contained sends such requests, with the key and the first part of the sound ones, through all other faults and to the end, and counts those that undisturbed instances send later than 3 s after the fifth crash (at most three).

--- a/tests/fakes/platform_upstreams.cc
+++ b/tests/fakes/platform_upstreams.cc
@@ -195,6 +195,10 @@
   if (stream->path.empty()) {
     stream->path = {{Address(), 0, kModelLayers}};
   }
+  stream->bad_part = Field(request, "X-Prompt-Prefix").find(kBadPart) != std::string::npos;
+  if (stream->bad_part) {
+    m_journal->on_bad_part(stream->id);
+  }
   if (const Hop* const missing = Missing(stream->path)) {
     reply->Whole(
         503,
@@ -223,6 +227,14 @@
     if (ended) {
       stream->reply->Cut();
     }
+  } else if (open && stream->bad_part) {
+    ++m_journal->bad_part_crashes;
+    m_journal->on_bad_part_crash();
+    m_timers.push_back(m_loop->After(Milliseconds(0), [this] {
+      Crash();
+      m_timers.push_back(m_loop->After(kCrashDowntime, [this] { Start(); }));
+    }));
+    return;
   } else if (open) {
     stream->stalled_since = TimePoint();
     if (!stream->begun) {
--- a/tests/fakes/platform_upstreams.h
+++ b/tests/fakes/platform_upstreams.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -41,9 +42,18 @@
   int slots = 32;
 };
 
+// Prompt part that crashes each engine that begins an answer to it. The engine is back after
+// kCrashDowntime.
+constexpr char kBadPart[] = "bad0";
+constexpr Milliseconds kCrashDowntime{1500};
+
 // What ran, by request id, at all upstreams.
 struct RunJournal {
   std::map<std::string, int> runs;
+  int bad_part_crashes = 0;
+  // Called for each request with kBadPart that reaches an engine, and for each crash by one.
+  std::function<void(const std::string& id)> on_bad_part = [](const std::string&) {};
+  std::function<void()> on_bad_part_crash = [] {};
 };
 
 class PlatformUpstream {
@@ -86,6 +96,7 @@
     int next_event = 1;
     std::shared_ptr<StandInReply> reply;
     bool begun = false;
+    bool bad_part = false;
     TimePoint stalled_since;  // Zero while it goes on.
     std::unique_ptr<Timer> timer;
   };
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -43,6 +43,10 @@
 constexpr Milliseconds kKeyRemoval{5000};
 constexpr Milliseconds kKeySlack{500};
 constexpr int kFinalCalls = 40;
+// Requests with a bad part that may reach engines later than the window after the fifth crash. An
+// instance counts once it has been undisturbed for the window.
+constexpr int kMaxBadPartSends = 3;
+constexpr Milliseconds kStableWindow{3000};
 
 struct Instance {
   std::string name;
@@ -54,9 +58,10 @@
   TimePoint paused_until;
   TimePoint disturbed_until;  // Killed, stopped or paused: its callers may get no answer.
   bool stopping = false;
+  TimePoint disturbed_at;  // Last change of its process or of its link to the store.
 };
 
-enum class CallKind { kStream, kOrder, kLook };
+enum class CallKind { kStream, kOrder, kLook, kBadPart };
 
 class SoakRun;
 
@@ -93,6 +98,12 @@
   explicit SoakRun(const SoakOptions& options)
       : m_options(options), m_random(MakeRandom(options.seed)), m_loop(MakeEventLoop(&m_io)) {
     m_client = MakeHttpClient(&m_io);
+    m_journal.on_bad_part = [this](const std::string& id) { OnBadPart(id); };
+    m_journal.on_bad_part_crash = [this] {
+      if (m_journal.bad_part_crashes == 5) {
+        m_fifth_crash = m_loop->Now();
+      }
+    };
     m_report.log_directory = testing::MakeTemporaryDirectory();
     // Addresses of their own for each run, so that runs on one machine do not meet.
     m_net = "127." + std::to_string(20 + m_random->Below(200)) + "." +
@@ -119,6 +130,7 @@
     Finish();
     StopAll();
     JudgeRuns();
+    m_report.bad_part_crashes = m_journal.bad_part_crashes;
     return m_report;
   }
 
@@ -152,6 +164,17 @@
     return std::chrono::duration_cast<Milliseconds>(m_loop->Now() - m_started).count();
   }
   void Let(Milliseconds time) { m_io.run_for(time); }
+  // A request with the bad part has reached an engine.
+  void OnBadPart(const std::string& id) {
+    const TimePoint now = m_loop->Now();
+    const Instance* const instance = m_senders.at(id);
+    const bool counts = m_fifth_crash && now > *m_fifth_crash + kStableWindow &&
+                        now > instance->disturbed_at + kStableWindow &&
+                        now > m_store_disturbed_at + kStableWindow;
+    if (counts && ++m_report.bad_part_sends > kMaxBadPartSends) {
+      Violation(id + " with the bad part reached an engine from " + instance->name);
+    }
+  }
   tcp::endpoint Address(int group, int number, uint16_t port) const {
     // Groups share the last byte of the address.
     return tcp::endpoint(asio::ip::make_address(m_net + std::to_string(group * 40 + number + 1)),
@@ -211,6 +234,7 @@
     instance->process = testing::Process::Start({AZUREGW_BINARY, "gateway"}, instance->log_path);
     instance->stopping = false;
     instance->paused_until = TimePoint();
+    instance->disturbed_at = m_loop->Now();
   }
 
   void WriteConfig() { m_store->Put("op/config", fakes::PlatformConfig(++m_version, m_keys)); }
@@ -223,15 +247,19 @@
   }
   void Call() {
     Instance* const instance = m_instances[m_random->Below(m_instances.size())].get();
+    const bool bad_part = m_options.bad_part && m_random->Below(15) == 0;
     const uint64_t draw = m_random->Below(10);
-    const CallKind kind = draw < 5   ? CallKind::kStream
+    const CallKind kind = bad_part   ? CallKind::kBadPart
+                          : draw < 5 ? CallKind::kStream
                           : draw < 8 ? CallKind::kOrder
                                      : CallKind::kLook;
     // Some callers go on with a key that was removed.
     const bool old_key = !m_finishing && !m_revoked.empty() && m_random->Below(8) == 0;
     const std::string key = old_key ? m_revoked.begin()->first : m_keys.back();
-    auto caller =
-        std::make_unique<Caller>(this, kind, "r" + std::to_string(m_next_id++), key, instance);
+    const std::string id = "r" + std::to_string(m_next_id++);
+    m_senders[id] = instance;
+    m_asked += bad_part ? 0 : 1;
+    auto caller = std::make_unique<Caller>(this, kind, id, key, instance);
     caller->Start();
     m_callers.push_back(std::move(caller));
   }
@@ -255,6 +283,7 @@
         Note("pause " + instance->name + " " + std::to_string(time.count()) + " ms");
         Disturb(instance, time);
         instance->process->Stop();
+        instance->disturbed_at = m_loop->Now() + time;
         instance->paused_until = m_loop->Now() + time;
         Later(time, [instance] {
           if (instance->process != nullptr) {
@@ -293,6 +322,7 @@
         const size_t which = m_random->Below(5);
         Note("store trouble " + std::to_string(which));
         m_store->InjectFault(kTroubles[which]);
+        m_store_disturbed_at = m_loop->Now() + time;
         Later(time, [this] { m_store->InjectFault(PlatformStore::Fault::kNone); });
         break;
       }
@@ -304,6 +334,7 @@
         const size_t which = m_random->Below(4);
         Note("link trouble " + std::to_string(which) + " at " + instance->name);
         instance->store_link->SetTrouble(kTroubles[which]);
+        instance->disturbed_at = m_loop->Now() + time;
         Later(time, [instance] { instance->store_link->SetTrouble(FaultLink::Trouble::kNone); });
         break;
       }
@@ -370,6 +401,7 @@
       return;
     }
     instance->stopping = true;
+    instance->disturbed_at = m_loop->Now();
     instance->process->Signal(SIGTERM);
     const TimePoint asked = m_loop->Now();
     PollStop(instance, asked);
@@ -401,7 +433,8 @@
   void Finish() {
     m_good = 0;
     m_finishing = true;
-    for (int i = 0; i < kFinalCalls; ++i) {
+    m_asked = 0;
+    while (m_asked < kFinalCalls) {
       Call();
       Let(kCallInterval);
     }
@@ -461,6 +494,10 @@
   std::vector<std::unique_ptr<Timer>> m_later;
   std::unique_ptr<Timer> m_send_timer;
   std::vector<std::string> m_keys;
+  std::map<std::string, const Instance*> m_senders;  // Instance that a request was sent to, by ID.
+  std::optional<TimePoint> m_fifth_crash;            // Of those by the bad part.
+  TimePoint m_store_disturbed_at;
+  int m_asked = 0;  // Requests without the bad part; of the final calls while they are made.
   std::map<std::string, TimePoint> m_revoked;
   std::set<std::string> m_promised;
   uint64_t m_version = 0;
@@ -475,14 +512,18 @@
 void Caller::Start() {
   HttpRequest request;
   request.method(http::verb::post);
-  request.target(m_kind == CallKind::kStream  ? "/model/x"
-                 : m_kind == CallKind::kOrder ? "/order/x"
-                                              : "/look/x");
+  const bool stream = m_kind == CallKind::kStream || m_kind == CallKind::kBadPart;
+  request.target(stream ? "/model/x" : m_kind == CallKind::kOrder ? "/order/x" : "/look/x");
   request.set(http::field::host, "soak.example");
   request.set("X-Request-Id", m_id);
   request.set("Api-Key", m_key);
   request.set("X-Deadline-Ms", std::to_string(kDeadline.count()));
   request.set("X-Token-Usage", "100," + std::to_string(fakes::kStreamEvents));
+  if (stream) {
+    // The bad part comes with the same key and the same first part as others.
+    const std::string middle = m_kind == CallKind::kBadPart ? fakes::kBadPart : "7a11";
+    request.set("X-Prompt-Prefix", "5a5a:40," + middle + ":20," + m_id.substr(1) + ":40");
+  }
   request.body() = "body of " + m_id;
   request.prepare_payload();
   HttpCallOptions options;
@@ -518,7 +559,9 @@
 }
 
 void Caller::Judge() {
-  if (m_status == 200) {
+  if (m_status == 200 && m_kind == CallKind::kBadPart) {
+    m_run->Violation(m_id + " with the bad part got an answer");
+  } else if (m_status == 200) {
     std::string whole = "done body of " + m_id;
     if (m_kind == CallKind::kStream) {
       whole.clear();
@@ -549,6 +592,10 @@
 
 void Caller::End(const std::string& outcome) {
   m_timer.reset();
+  if (m_kind == CallKind::kBadPart) {
+    m_run->Count("bad part: " + outcome, false);
+    return;
+  }
   m_run->Count(outcome, outcome == "200");
 }
 
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -20,6 +20,8 @@
   Milliseconds faults_for{8000};
   // Time from the last fault until everything must be served again.
   Milliseconds recovery{8000};
+  // One request in fifteen contains a prompt part that crashes engines, until the end.
+  bool bad_part = false;
 };
 
 struct SoakReport {
@@ -28,6 +30,8 @@
   std::vector<std::string> faults;      // With their times.
   int served_at_end = 0;                // Of asked_at_end requests after the recovery.
   int asked_at_end = 0;
+  int bad_part_crashes = 0;
+  int bad_part_sends = 0;  // Sends by undisturbed instances, later than the window after the fifth.
   std::string log_directory;  // Logs of the instances.
 };
 
