Log the rate limits that upstreams state

Change: the adapter decodes the limit of an answer; Fleet keeps the last statement of each upstream until a later request is answered without one or the process is another; upstream_limit lines and azuregw_limited_upstreams show it. No decision uses it yet.

--- a/include/azuregw/fleet/fleet.h
+++ b/include/azuregw/fleet/fleet.h
@@ -77,7 +77,11 @@
   int reported_load = 0;  // Self-reported number of running and queued requests.
   TimePoint reported_at;  // Time of `reported_load`.
   double slowdown = 1;    // Self-reported slowdown factor; 1 is normal speed.
-  TimePoint slowdown_until;        // Expiry of `slowdown`.
+  TimePoint slowdown_until;  // Expiry of `slowdown`.
+  // Requests per second that the upstream accepts from all instances together, as it last said in
+  // an answer; nullopt: it states no limit.
+  std::optional<double> rate_limit;
+  TimePoint rate_limit_at;         // Time of that answer.
   bool pace_queried_here = false;  // `slowdown` was queried by this instance, not by another one.
 
   // Returns whether new requests may be sent to the upstream.
@@ -137,6 +141,11 @@
   void SetHealthReportListener(std::function<void()> listener) {
     m_on_health_report = std::move(listener);
   }
+  // Records the rate limit in an answer of `id` to a request that was sent at `sent_at`. Returns
+  // whether it changed. An answer without a limit ends one only if its request was sent after the
+  // limit was last stated.
+  bool OnRateLimit(const std::string& id, std::optional<double> limit, TimePoint sent_at,
+                   TimePoint now);
   // Adds a request with `token_layers` of KV memory to this instance's load at `id`.
   void Reserve(const std::string& id, double token_layers);
   // Removes a request that Reserve() added.
--- a/include/azuregw/forward/wire_protocol.h
+++ b/include/azuregw/forward/wire_protocol.h
@@ -45,6 +45,8 @@
   bool not_run = false;       // The upstream states that it did not run the request.
   std::string fault_address;  // Engine that caused the refusal; empty: the responding upstream.
   std::optional<int> load;    // Number of running and queued requests at the upstream.
+  // Requests per second that the upstream accepts from all instances together; not stated: any.
+  std::optional<double> rate_limit;
 };
 
 // Reads and writes the header fields of one platform.
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -37,6 +37,7 @@
         upstream.stopped_until = TimePoint();
         upstream.failures = 0;
         upstream.suspicions = 0;
+        upstream.rate_limit.reset();
       }
       if (old.draining != record.draining) {
         changes.push_back(
@@ -136,6 +137,19 @@
   }
 }
 
+bool Fleet::OnRateLimit(const std::string& id, std::optional<double> limit, TimePoint sent_at,
+                        TimePoint now) {
+  Upstream* const upstream = Find(id);
+  if (upstream == nullptr ||
+      (!limit && (!upstream->rate_limit || sent_at <= upstream->rate_limit_at))) {
+    return false;
+  }
+  const bool changed = upstream->rate_limit != limit;
+  upstream->rate_limit = limit;
+  upstream->rate_limit_at = now;
+  return changed;
+}
+
 void Fleet::Reserve(const std::string& id, double token_layers) {
   if (Upstream* const upstream = Find(id)) {
     upstream->own_load.token_layers += token_layers;
--- a/src/forward/exchange_base.cc
+++ b/src/forward/exchange_base.cc
@@ -153,6 +153,17 @@
   });
 }
 
+void ExchangeBase::RecordRateLimit(const std::string& upstream, const UpstreamResponse& answer,
+                                   TimePoint sent_at) {
+  if (m_context->fleet->OnRateLimit(upstream, answer.rate_limit, sent_at, Now())) {
+    m_context->log->Write("upstream_limit",
+                          {{"upstream", upstream},
+                           {"per_s", answer.rate_limit.value_or(-1)},
+                           {"request_id", m_caller.id}},
+                          true);
+  }
+}
+
 HttpRequest ExchangeBase::ForwardedMessage(const std::string& upstream_id,
                                            gsl::span<const PathHop> path,
                                            const std::optional<std::string>& resume_after) const {
--- a/src/forward/exchange_base.h
+++ b/src/forward/exchange_base.h
@@ -32,6 +32,9 @@
   Milliseconds TimeLeft() const;
   // Starts the timer that calls OnDeadline().
   void StartDeadline();
+  // Records the rate limit in an answer of `upstream` to a request that was sent at `sent_at`.
+  void RecordRateLimit(const std::string& upstream, const UpstreamResponse& answer,
+                       TimePoint sent_at);
   // Returns the caller's request with the header fields for an upstream and the current time left.
   HttpRequest ForwardedMessage(const std::string& upstream_id, gsl::span<const PathHop> path,
                                const std::optional<std::string>& resume_after) const;
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -4,6 +4,7 @@
 
 #include <malloc.h>
 
+#include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -209,6 +210,10 @@
   StatusReply Metrics() {
     m_metrics->Set("azuregw_config_version", "", static_cast<double>(m_routes.Version()));
     m_metrics->Set("azuregw_upstreams", "", static_cast<double>(m_fleet.All().size()));
+    const auto limited =
+        std::count_if(m_fleet.All().begin(), m_fleet.All().end(),
+                      [](const auto& entry) { return entry.second.rate_limit.has_value(); });
+    m_metrics->Set("azuregw_limited_upstreams", "", static_cast<double>(limited));
     m_metrics->Set("azuregw_connections", "", m_listener->Connections());
     m_metrics->Set("azuregw_queued_streams", "", m_queue.Size());
     m_metrics->Set("azuregw_quarantined_parts", "", static_cast<double>(m_quarantined.size()));
--- a/src/forward/plain_exchange.cc
+++ b/src/forward/plain_exchange.cc
@@ -46,6 +46,7 @@
   const std::string m_id;  // ID of the upstream.
   std::shared_ptr<ClientCall> m_call;
   bool m_ended = false;  // The call is cancelled and the reservation released.
+  TimePoint m_sent_at;
   BufferedResponse m_reply;
   UpstreamResponse m_response_info;
 };
@@ -84,6 +85,7 @@
   void OnResponse(Attempt* attempt) {
     const UpstreamResponse answer = attempt->m_response_info;
     const int status = attempt->m_reply.status;
+    RecordRateLimit(attempt->m_id, answer, attempt->m_sent_at);
     if (answer.load) {
       m_context->fleet->OnReportedLoad(attempt->m_id, *answer.load, Now());
     }
@@ -170,6 +172,7 @@
       return false;
     }
     auto attempt = std::make_unique<Attempt>(this, id);
+    attempt->m_sent_at = Now();
     HttpCallOptions options;
     options.endpoint = *endpoint;
     options.connect_timeout = kConnectTimeout;
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -129,6 +129,7 @@
   if (!m_response_info.request_id.empty() && m_response_info.request_id != m_caller.id) {
     return false;
   }
+  RecordRateLimit(m_path.hops.front().id, m_response_info, m_attempt_started);
   m_attempt_status = status;
   m_framed = head.count(boost::beast::http::field::transfer_encoding) > 0 ||
              head.count(boost::beast::http::field::content_length) > 0;
--- a/tests/platform/header_protocol_test.cc
+++ b/tests/platform/header_protocol_test.cc
@@ -35,6 +35,21 @@
   BOOST_TEST(SharedParts({"5c1e07a2:800,91bd3f06:410", "e4402b7d:250"}) == expected);
 }
 
+BOOST_AUTO_TEST_CASE(stated_rate_limit_is_read) {
+  const auto limit = [](const std::string& text) {
+    HttpFields fields;
+    fields.set("Server-Limit", text);
+    return MakeHeaderProtocol()->ReadResponse(200, fields).rate_limit;
+  };
+  BOOST_TEST((limit("16.25") == 16.25));
+  BOOST_TEST((limit("3") == 3.0));
+  BOOST_TEST((limit("0") == 0.0));
+  for (const char* text : {"", "-1", "many", "1;2", "inf", "nan"}) {
+    BOOST_TEST(!limit(text).has_value(), text);
+  }
+  BOOST_TEST(!MakeHeaderProtocol()->ReadResponse(200, HttpFields()).rate_limit.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/support/fake_gateway.h
+++ b/tests/support/fake_gateway.h
@@ -45,6 +45,9 @@
     if (framed) {
       head.set("Transfer-Encoding", "chunked");
     }
+    if (rate_limit) {
+      head.set("Limit", std::to_string(*rate_limit));
+    }
     if (m_handler != nullptr) {
       m_handler->OnHead(head);
     }
@@ -76,6 +79,7 @@
 
   const HttpCallOptions options;
   const HttpRequest request;
+  std::optional<double> rate_limit;  // Limit that the upstream states.
   bool framed = true;  // The response states its end; otherwise it ends with the connection.
 
  private:
@@ -158,6 +162,9 @@
     answer.request_id = std::string(fields["Id"]);
     answer.sealed = fields.count("Seal") > 0;
     answer.not_run = fields.count("Not-Run") > 0;
+    if (fields.count("Limit") > 0) {
+      answer.rate_limit = std::stod(std::string(fields["Limit"]));
+    }
     return answer;
   }
   std::string_view RequestIdHeader() const override { return "Id"; }
