Keep the rate limits that upstreams state, over all instances together

Cause: the choice of paths knew memory and links but no limit, and few engines begin most paths (arrivals of the busiest engine over the mean: 12 to 13).

Ruled out: a limit that each instance keeps alone, since no code used it.

Change: a limit is a capacity that path choice and the choice of plain upstreams see before they send. As many instances use a limited upstream as it accepts requests per second; which ones follows from its ID, the instance's number and the number of instances, and each has an equal share in a token bucket that starts empty. Statements travel with the load reports, the newest wins; one ends with a later answer that states none, with the process, or after 30 s. Without another way the caller is refused at once, with the time until the next token.

Why it works: the shares add up to the limit by construction, whatever the reports lack, and bursts are bounded by one token for each user.

--- a/include/azuregw/fleet/fleet.h
+++ b/include/azuregw/fleet/fleet.h
@@ -20,6 +20,7 @@
 
 #include "azuregw/base/clock.h"
 #include "azuregw/fleet/link_load.h"
+#include "azuregw/fleet/rate_share.h"
 #include "azuregw/preset/preset.h"
 
 namespace azuregw {
@@ -81,7 +82,9 @@
   // Requests per second that the upstream accepts from all instances together, as it last said in
   // an answer; nullopt: it states no limit.
   std::optional<double> rate_limit;
-  TimePoint rate_limit_at;         // Time of that answer.
+  TimePoint rate_limit_at;            // Time of that answer.
+  bool rate_limit_seen_here = false;  // The answer was received here, not at another instance.
+  StartBucket start_bucket;           // Requests of this instance under `rate_limit`.
   bool pace_queried_here = false;  // `slowdown` was queried by this instance, not by another one.
 
   // Returns whether new requests may be sent to the upstream.
@@ -114,6 +117,9 @@
   // Maximum number of doublings of the suspicion time.
   static constexpr int kMaxSuspicionDoublings = 2;
 
+  // Lifetime of a stated rate limit. Upstreams with requests state it again all the time.
+  static constexpr Milliseconds kRateLimitTtl{30000};
+
   // Lifetime of an engine's self-reported pace, which is a few hundred ms old on arrival.
   static constexpr Milliseconds kPaceTtl{1500};
 
@@ -146,6 +152,18 @@
   // limit was last stated.
   bool OnRateLimit(const std::string& id, std::optional<double> limit, TimePoint sent_at,
                    TimePoint now);
+  // Applies a rate limit that another instance received at `when`, if it is newer.
+  void ApplyRateLimitReport(const std::string& id, std::optional<double> limit, TimePoint when,
+                            TimePoint now);
+  // Sets the position that determines the shares of rate limits.
+  void SetPosition(const FleetPosition& position, TimePoint now);
+  // Returns whether the rate limit of the upstream, if any, allows a request of this instance now.
+  bool MayStart(const Upstream& upstream, TimePoint now) const;
+  // Counts a request to `id` under its rate limit.
+  void OnStart(const std::string& id, TimePoint now);
+  // Returns the time until a limited upstream of `service` allows a request of this instance; 0 if
+  // none is limited.
+  Milliseconds StartDelay(std::string_view service, TimePoint now) const;
   // Adds a request with `token_layers` of KV memory to this instance's load at `id`.
   void Reserve(const std::string& id, double token_layers);
   // Removes a request that Reserve() added.
@@ -181,10 +199,14 @@
   const std::map<std::string, Upstream>& All() const { return m_upstreams; }
 
  private:
+  // Returns the requests per second that this instance may send to the upstream; nullopt: any.
+  std::optional<double> StartRate(const Upstream& upstream, TimePoint now) const;
+
   std::map<std::string, Upstream> m_upstreams;
   // Retention deadline of each entry that disappeared in an outage, by ID.
   std::map<std::string, TimePoint> m_retained_until;
   LinkLoad m_links;
+  FleetPosition m_position;
   std::function<void()> m_on_health_report = [] {};
 };
 
--- a/include/azuregw/fleet/fleet_load_table.h
+++ b/include/azuregw/fleet/fleet_load_table.h
@@ -46,6 +46,13 @@
   double pace = 1;  // Slowdown factor; above 1 is slower than normal for the accelerator kind.
 };
 
+// Rate limit that an upstream stated `age` ago; nullopt: it stated that it has none.
+struct RateLimitReport {
+  UpstreamNumber upstream = 0;
+  std::optional<double> per_s;
+  Milliseconds age{0};
+};
+
 // Tokens per second that cross a link between failure domains.
 struct LinkRateReport {
   LinkId link = 0;
@@ -58,6 +65,7 @@
   std::vector<SuspectReport> suspects;
   std::vector<PaceReport> paces;
   std::vector<LinkRateReport> links;
+  std::vector<RateLimitReport> rate_limits;
 };
 
 // Holds the latest load report of each instance and computes the totals.
--- a/include/azuregw/fleet/path_selector.h
+++ b/include/azuregw/fleet/path_selector.h
@@ -70,7 +70,8 @@
 // Reason why no path exists.
 enum class PathError {
   kLayersNotCovered,  // The usable engines do not hold all layers.
-  kNoCapacity         // The usable engines hold all layers but lack memory or link capacity.
+  kNoCapacity         // The usable engines hold all layers but lack memory or link capacity, or
+                      // their rate limits allow no request now.
 };
 
 // Finds the cheapest path with a shortest-path search over layer boundaries.
--- a/include/azuregw/fleet/upstream_picker.h
+++ b/include/azuregw/fleet/upstream_picker.h
@@ -23,8 +23,8 @@
   TimePoint now;
 };
 
-// Returns the ID of the selected upstream, or an empty string if the service has none. Suspect
-// upstreams are selected only when no other is available.
+// Returns the ID of the selected upstream, or an empty string if the service has none whose rate
+// limit allows a request now. Suspect upstreams are selected only when no other is available.
 std::string PickUpstream(const Fleet& fleet, const PickQuery& query, Random* random);
 
 }  // namespace azuregw
--- a/include/azuregw/sync/state_exchange.h
+++ b/include/azuregw/sync/state_exchange.h
@@ -13,6 +13,7 @@
 #include "azuregw/base/event_loop.h"
 #include "azuregw/base/result.h"
 #include "azuregw/fleet/fleet.h"
+#include "azuregw/fleet/fleet_load_table.h"
 #include "azuregw/forward/gateway_settings.h"
 #include "azuregw/logging/event_log.h"
 #include "azuregw/placement/leader_lease.h"
@@ -34,6 +35,8 @@
   // Returns the number of instances that share the load, or nullopt while the load of the others is
   // unknown or stale.
   virtual std::optional<int> InstanceCount() const = 0;
+  // Returns the number of this instance among them. Numbers are assigned anew by each leader.
+  virtual InstanceNumber Number() const = 0;
   // Returns the mean age of the load that the last totals contain.
   virtual Milliseconds LoadAge() const = 0;
 };
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -145,11 +145,80 @@
     return false;
   }
   const bool changed = upstream->rate_limit != limit;
+  if (!upstream->rate_limit) {
+    upstream->start_bucket.Reset(now);
+  }
   upstream->rate_limit = limit;
   upstream->rate_limit_at = now;
+  upstream->rate_limit_seen_here = true;
+  if (changed) {
+    m_on_health_report();
+  }
   return changed;
 }
 
+void Fleet::ApplyRateLimitReport(const std::string& id, std::optional<double> limit, TimePoint when,
+                                 TimePoint now) {
+  Upstream* const upstream = Find(id);
+  if (upstream == nullptr || when <= upstream->rate_limit_at) {
+    return;
+  }
+  if (!upstream->rate_limit) {
+    upstream->start_bucket.Reset(now);
+  }
+  upstream->rate_limit = limit;
+  upstream->rate_limit_at = when;
+  upstream->rate_limit_seen_here = false;
+}
+
+std::optional<double> Fleet::StartRate(const Upstream& upstream, TimePoint now) const {
+  if (!upstream.rate_limit || now - upstream.rate_limit_at > kRateLimitTtl) {
+    return std::nullopt;
+  }
+  return RateShare(*upstream.rate_limit, upstream.record.id, m_position);
+}
+
+void Fleet::SetPosition(const FleetPosition& position, TimePoint now) {
+  if (position.number == m_position.number && position.instances == m_position.instances) {
+    return;
+  }
+  // Tokens that were not used under the last share must not add to those of the others.
+  for (auto& [id, upstream] : m_upstreams) {
+    const std::optional<double> before = StartRate(upstream, now);
+    if (before && *before == 0) {
+      upstream.start_bucket.Reset(now);
+    }
+  }
+  m_position = position;
+}
+
+bool Fleet::MayStart(const Upstream& upstream, TimePoint now) const {
+  const std::optional<double> rate = StartRate(upstream, now);
+  return !rate || (*rate > 0 && upstream.start_bucket.Tokens(*rate, now) >= 1);
+}
+
+void Fleet::OnStart(const std::string& id, TimePoint now) {
+  Upstream* const upstream = Find(id);
+  if (upstream == nullptr) {
+    return;
+  }
+  if (const std::optional<double> rate = StartRate(*upstream, now)) {
+    upstream->start_bucket.Take(*rate, now);
+  }
+}
+
+Milliseconds Fleet::StartDelay(std::string_view service, TimePoint now) const {
+  Milliseconds least = Milliseconds::max();
+  for (const auto& [id, upstream] : m_upstreams) {
+    const std::optional<double> rate =
+        upstream.record.service == service ? StartRate(upstream, now) : std::nullopt;
+    if (rate) {
+      least = std::min(least, upstream.start_bucket.Delay(*rate, now));
+    }
+  }
+  return least == Milliseconds::max() ? Milliseconds(0) : least;
+}
+
 void Fleet::Reserve(const std::string& id, double token_layers) {
   if (Upstream* const upstream = Find(id)) {
     upstream->own_load.token_layers += token_layers;
--- a/src/fleet/fleet_load_table.cc
+++ b/src/fleet/fleet_load_table.cc
@@ -13,6 +13,8 @@
 
 // Longer idle times are not reported.
 constexpr Milliseconds kMaxReportedIdle{5000};
+// Older statements of rate limits are not reported; each answer renews them.
+constexpr Milliseconds kMaxReportedLimitAge{3000};
 
 // Returns the time from `now` to `until`, truncated to milliseconds.
 Milliseconds Remaining(TimePoint until, TimePoint now) {
@@ -44,6 +46,7 @@
   std::map<std::pair<UpstreamNumber, SuspectKind>, SuspectReport> suspects;
   std::map<UpstreamNumber, PaceReport> paces;
   std::map<LinkId, double> links;
+  std::map<UpstreamNumber, RateLimitReport> rate_limits;
   for (auto entry = m_reports.begin(); entry != m_reports.end();) {
     const auto age = std::chrono::duration_cast<Milliseconds>(now - entry->second.received);
     if (age > kReportTtl) {
@@ -68,6 +71,13 @@
     for (const LinkRateReport& link : report.links) {
       links[link.link] += link.tokens_per_s;
     }
+    for (RateLimitReport limit : report.rate_limits) {
+      limit.age += age;
+      const auto newest = rate_limits.emplace(limit.upstream, limit).first;
+      if (limit.age < newest->second.age) {
+        newest->second = limit;
+      }
+    }
     ++entry;
   }
   LoadReport totals;
@@ -83,6 +93,9 @@
   for (const auto& [link, rate] : links) {
     totals.links.push_back({link, rate});
   }
+  for (const auto& [upstream, limit] : rate_limits) {
+    totals.rate_limits.push_back(limit);
+  }
   return totals;
 }
 
@@ -95,7 +108,9 @@
     const bool pace = upstream.pace_queried_here && upstream.slowdown_until > now;
     const auto idle = std::chrono::duration_cast<Milliseconds>(now - upstream.own_progress);
     const bool active = upstream.own_load.requests > 0 || idle < kMaxReportedIdle;
-    if (!active && !suspect && !full && !pace) {
+    const auto limit_age = std::chrono::duration_cast<Milliseconds>(now - upstream.rate_limit_at);
+    const bool limit = upstream.rate_limit_seen_here && limit_age < kMaxReportedLimitAge;
+    if (!active && !suspect && !full && !pace && !limit) {
       continue;
     }
     const std::optional<UpstreamNumber> number = numbers.NumberOf(id);
@@ -119,6 +134,9 @@
       report.paces.push_back(
           {*number, reporter, Remaining(upstream.slowdown_until, now), upstream.slowdown});
     }
+    if (limit) {
+      report.rate_limits.push_back({*number, upstream.rate_limit, limit_age});
+    }
   }
   for (const auto& [link, rate] : fleet.Links().OwnRates(now)) {
     report.links.push_back({link, rate});
@@ -161,6 +179,11 @@
       fleet->ApplyPaceReport(*id, pace.pace, pace.remaining, now);
     }
   }
+  for (const RateLimitReport& limit : totals.rate_limits) {
+    if (const std::string* const id = numbers.IdOf(limit.upstream)) {
+      fleet->ApplyRateLimitReport(*id, limit.per_s, now - limit.age, now);
+    }
+  }
   std::unordered_map<LinkId, double> other_rates;
   for (const LinkRateReport& link : totals.links) {
     other_rates[link.link] = link.tokens_per_s;
--- a/src/fleet/path_selector.cc
+++ b/src/fleet/path_selector.cc
@@ -59,6 +59,7 @@
   double slowdown;
   double congestion;  // Factor on the token time while the engine also reads prompts.
   double backlog_ms;  // Cost of the prompts that wait at the engine.
+  bool may_begin;     // The engine's rate limit allows another path to begin there.
 };
 
 // Returns whether the path may contain an engine. With `ignore_load`, engines that are short of
@@ -245,7 +246,8 @@
                           query.now < upstream.slowdown_until ? upstream.slowdown : 1,
                           PromptCongestion(model.PrefillUtilization(
                               held, Requests(upstream, query) + extra_streams)),
-                          PromptBacklogMs(profile, model, held, extra_streams)});
+                          PromptBacklogMs(profile, model, held, extra_streams),
+                          ignore_load || fleet.MayStart(upstream, query.now)});
     boundaries.push_back(record.layers->first);
     boundaries.push_back(record.layers->last);
   }
@@ -286,7 +288,7 @@
     for (size_t i = 0; i < candidates.size(); ++i) {
       const Candidate& candidate = candidates[i];
       const LayerRange& held = *candidate.upstream->record.layers;
-      if (held.first > layer || held.last <= layer) {
+      if (held.first > layer || held.last <= layer || (entering && !candidate.may_begin)) {
         continue;
       }
       for (int to = at + 1; to < count && boundaries[static_cast<size_t>(to)] <= held.last; ++to) {
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -13,6 +13,7 @@
 #include <string>
 #include <utility>
 
+#include "azuregw/base/rendezvous.h"
 #include "azuregw/forward/caller_listener.h"
 #include "azuregw/forward/exchange.h"
 #include "azuregw/net/endpoint.h"
@@ -99,6 +100,8 @@
     m_context.random = m_random.get();
     m_context.settings = settings;
     m_context.assumed_instances = kAssumedInstances;
+    m_fleet.SetPosition({static_cast<uint32_t>(StableHash(settings.name)), kAssumedInstances},
+                        m_loop->Now());
   }
 
   // Runs the event loop and ends the process. Returns only if the instance cannot start; the result
@@ -242,6 +245,7 @@
         m_last_instances = *instances;
         m_context.instances = m_last_instances;
         m_context.load_age = m_exchange->LoadAge();
+        m_fleet.SetPosition({m_exchange->Number(), m_last_instances}, m_loop->Now());
         m_budget.SetInstances(m_last_instances, m_loop->Now());
         m_store_retry.SetInstances(m_last_instances);
       }
--- a/src/forward/plain_exchange.cc
+++ b/src/forward/plain_exchange.cc
@@ -68,7 +68,11 @@
   void Start() override {
     StartDeadline();
     if (!StartNextAttempt()) {
-      Refuse(ResultCode::kNoChain, "the service has no upstream", RetryAfterTime());
+      const bool limited = m_context->fleet->StartDelay(m_service, Now()).count() > 0;
+      Refuse(limited ? ResultCode::kOverloaded : ResultCode::kNoChain,
+             limited ? "the upstreams accept no more requests per second"
+                     : "the service has no upstream",
+             RetryAfterTime());
     }
   }
 
@@ -179,6 +183,7 @@
     options.max_idle = MayRetry() ? kRepeatableMaxIdle : kOrderMaxIdle;
     ++m_sends;
     m_context->fleet->Reserve(id, 0);
+    m_context->fleet->OnStart(id, Now());
     const Upstream* const upstream = m_context->fleet->Find(id);
     m_context->log->Write("plain_attempt",
                           {{"request_id", m_caller.id},
@@ -235,7 +240,8 @@
 
   std::optional<Milliseconds> RetryAfterTime() const {
     // Callers accept at most a third of the time left.
-    return std::min(TimeLeft() / 4, Milliseconds(500));
+    return std::max(std::min(TimeLeft() / 4, Milliseconds(500)),
+                    m_context->fleet->StartDelay(m_service, Now()));
   }
 
   // Counts a failure; marks the upstream as suspect after several in a row.
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -298,6 +298,7 @@
   ++m_sends;
   m_context->quarantine->OnSent(m_parts, Now());
   m_context->queue->OnStarted(Now());
+  m_context->fleet->OnStart(first.id, Now());
   m_attempt_started = Now();
   m_last_bytes = m_attempt_started;
   m_attempt_active = true;
@@ -548,7 +549,8 @@
   Refuse(no_cover ? ResultCode::kNoChain : ResultCode::kOverloaded,
          no_cover ? "the usable engines do not hold all layers"
                   : "no path has capacity for the request",
-         RetryAfter(inputs, m_context->random->Unit()));
+         std::max(RetryAfter(inputs, m_context->random->Unit()),
+                  m_context->fleet->StartDelay(m_service, Now())));
 }
 
 void StreamExchange::GiveUp(const std::string& reason) {
--- a/src/sync/state_exchange.cc
+++ b/src/sync/state_exchange.cc
@@ -78,6 +78,10 @@
     return m_instances;
   }
 
+  InstanceNumber Number() const override {
+    return m_follower_session ? m_follower_session->Number() : LeaderSession::kOwnNumber;
+  }
+
   Milliseconds LoadAge() const override {
     // A report is half an interval old on average when it enters the totals.
     return std::chrono::duration_cast<Milliseconds>(m_loop->Now() - m_totals_received) +
--- a/src/sync/sync_frames.cc
+++ b/src/sync/sync_frames.cc
@@ -13,6 +13,8 @@
 
 // Wire value of an unknown idle time.
 constexpr uint16_t kUnknownIdleMs = UINT16_MAX;
+// Wire value of a rate limit that has ended.
+constexpr double kNoRateLimit = -1;
 
 // Fills the load fields of a report or of totals; both tables have fields of the same names.
 template <typename Table>
@@ -37,6 +39,10 @@
   for (const LinkRateReport& link : load.links) {
     table->links.emplace_back(link.link, static_cast<float>(link.tokens_per_s));
   }
+  for (const RateLimitReport& limit : load.rate_limits) {
+    table->limits.emplace_back(limit.upstream, static_cast<uint32_t>(limit.age.count()),
+                               static_cast<float>(limit.per_s.value_or(kNoRateLimit)));
+  }
 }
 
 template <typename Table>
@@ -60,6 +66,11 @@
   for (const wire::LinkEntry& entry : table.links) {
     load.links.push_back({entry.link(), entry.tokens_per_s()});
   }
+  for (const wire::LimitEntry& entry : table.limits) {
+    load.rate_limits.push_back(
+        {entry.number(), entry.per_s() < 0 ? std::nullopt : std::optional<double>(entry.per_s()),
+         Milliseconds(entry.age_ms())});
+  }
   return load;
 }
 
--- a/src/sync/sync_sessions.h
+++ b/src/sync/sync_sessions.h
@@ -71,8 +71,10 @@
   // Returns the totals of all instances including this one, and applies them to its own fleet.
   FleetTotals Totals();
 
- private:
+  // Number of the leader itself.
   static constexpr InstanceNumber kOwnNumber = 0;
+
+ private:
   // Largest document that is sent to every follower at once. Followers read larger ones from the
   // store: 295 copies of 400 KB would occupy the leader's link for seconds.
   static constexpr size_t kMaxPushedDocumentBytes = size_t{64} << 10;
@@ -101,6 +103,8 @@
   void OnTotals(const FleetTotals& totals);
   // Returns the name of the leader; empty before the first update.
   const std::string& Leader() const { return m_leader; }
+  // Returns the number that the leader assigned to this instance.
+  InstanceNumber Number() const { return m_number; }
 
  private:
   // Limit of reports in flight; exceeded only when the connection is about to be closed.
--- a/tests/sync/sync_sessions_test.cc
+++ b/tests/sync/sync_sessions_test.cc
@@ -419,7 +419,8 @@
   totals.load = {{{7, {1500, 2}, Milliseconds(40)}},
                  {{7, 1, Milliseconds(300), SuspectKind::kStopped}},
                  {{7, 2, Milliseconds(9), 3}},
-                 {{LinkBetween("a", "b"), 1500}}};
+                 {{LinkBetween("a", "b"), 1500}},
+                 {{7, 15.5, Milliseconds(80)}, {8, std::nullopt, Milliseconds(2)}}};
   const SharedFrame second = EncodeSyncMessage(totals);
   const auto decoded_totals =
       DecodeSyncMessage({second->data() + kFrameHeaderBytes, second->size() - kFrameHeaderBytes});
@@ -429,6 +430,10 @@
   BOOST_TEST(std::get<FleetTotals>(*decoded_totals).load.links[0].link == LinkBetween("a", "b"));
   BOOST_TEST(std::get<FleetTotals>(*decoded_totals).load.links[0].tokens_per_s == 1500);
   const LoadReport& load = std::get<FleetTotals>(*decoded_totals).load;
+  BOOST_REQUIRE(load.rate_limits.size() == 2U);
+  BOOST_TEST((load.rate_limits[0].per_s == 15.5));
+  BOOST_TEST((load.rate_limits[0].age == Milliseconds(80)));
+  BOOST_TEST(!load.rate_limits[1].per_s.has_value());
   BOOST_TEST(load.loads[0].load.token_layers == 1500);
   BOOST_TEST(load.loads[0].load.requests == 2);
   BOOST_TEST((load.loads[0].idle == Milliseconds(40)));
