Share the decision to quarantine a part, and send only new evidence

Cause: each instance needs a number of crashes that depends on its own share of crashed requests. Two instances had quarantined the part after three crashes, the others needed five and let two more engines exit; the leader was one of these, so the part was not in the store when all instances were killed. Two exits 16 ms apart under one request counted once, though the second engine had taken the request after the first exit. Also, a changed table was sent whole to every instance.

Change: evidence carries the parts that any instance has quarantined; for them the lower limit holds everywhere, until an answer clears them. A later exit under the same request always counts apart. Leader and followers send what the other side lacks, all of it only to a new peer. If memory is short, the parts with the fewest crashes go first, not the oldest.

Why it works: a decision that has been made anywhere is the earliest one, and answers still clear it everywhere.

--- a/include/azuregw/admission/prompt_quarantine.h
+++ b/include/azuregw/admission/prompt_quarantine.h
@@ -8,7 +8,8 @@
 // engine. It counts until an answer to a prompt with the same part is written. Crashes that one
 // quarantined part explains do not count against others. The evidence of all instances is merged
 // (PromptEvidence); merging is idempotent and does not depend on the order, so any instance can
-// relay it and a new leader rebuilds it from the followers.
+// relay it and a new leader rebuilds it from the followers. A part that one instance quarantines is
+// quarantined by all.
 
 #ifndef AZUREGW_ADMISSION_PROMPT_QUARANTINE_H_
 #define AZUREGW_ADMISSION_PROMPT_QUARANTINE_H_
@@ -57,6 +58,7 @@
 struct PromptEvidence {
   std::vector<CrashReport> crashes;
   std::vector<AnswerReport> answers;
+  std::vector<PartId> quarantined;  // Parts that any instance has quarantined.
 };
 
 // Evidence of all instances as known to this one, and the parts that follow from it.
@@ -113,13 +115,15 @@
   // Removes all evidence against all parts, here and, by merging, at the other instances.
   void LiftAll(TimePoint now);
 
-  // Returns the evidence for the other instances.
-  PromptEvidence Evidence(TimePoint now) const;
+  // Returns the evidence that changed after `version` (see Version()); 0 for all.
+  PromptEvidence EvidenceSince(uint64_t version, TimePoint now) const;
+  // Returns the evidence that this instance contributed after `own_version` (see OwnVersion()).
+  PromptEvidence OwnEvidenceSince(uint64_t own_version, TimePoint now) const;
   // Adds the evidence of another instance. Returns whether it was new.
   bool Merge(const PromptEvidence& evidence, TimePoint now);
-  // Increases with each change of Evidence(), other than of its ages.
+  // Increases with each change of the evidence, other than of its ages.
   uint64_t Version() const { return m_version; }
-  // Increases with each change of Evidence() that this instance contributed.
+  // Increases with each change that this instance contributed.
   uint64_t OwnVersion() const { return m_own_version; }
   // Sets the callback that runs when this instance has evidence that the others need immediately.
   void SetListener(std::function<void()> listener) { m_listener = std::move(listener); }
@@ -128,8 +132,8 @@
   std::map<PartId, int> Quarantined(TimePoint now);
 
  private:
-  // Limits of the memory; callers choose the parts. The oldest evidence is dropped first, that of
-  // quarantined parts last.
+  // Limits of the memory; callers choose the parts. Those with the fewest crashes are dropped
+  // first, quarantined ones last.
   static constexpr size_t kMaxParts = 256;
   static constexpr size_t kMaxCrashesPerPart = 16;
   static constexpr size_t kMaxProofs = 2048;
@@ -142,8 +146,11 @@
   struct Part {
     std::map<ProcessId, TimePoint> crashes;  // All later than `answered`.
     std::optional<TimePoint> answered;
+    bool quarantined = false;  // An instance has quarantined the part since `answered`.
     TimePoint changed;
-    TimePoint trial_until;  // A trial runs until then.
+    uint64_t version = 0;      // Version of the last change.
+    uint64_t own_version = 0;  // Own version of the last change by this instance.
+    TimePoint trial_until;     // A trial runs until then.
   };
 
   // Crashes at least kMinCrashInterval apart, and the time of the first and the last one.
@@ -164,9 +171,12 @@
   void CountRequest(bool crashed, TimePoint now);
   // Returns the delay from the last crash to the next trial.
   Milliseconds TrialDelay(const Part& part, const CrashCount& crashes) const;
+  // Add evidence; return whether it was new.
   bool AddCrash(PartId id, ProcessId process, TimePoint when, TimePoint now);
   bool AddAnswer(PartId id, TimePoint when, TimePoint now);
-  void OnChange();
+  // Record evidence of this instance, and notify the listener if it is new.
+  void AddOwn(gsl::span<const PartId> changed);
+  PromptEvidence Collect(TimePoint now, const std::function<bool(const Part&)>& wanted) const;
   // Recomputes m_quarantined if the evidence changed, and drops expired evidence.
   void Update(TimePoint now);
   void DropOldest();
--- a/src/admission/prompt_quarantine.cc
+++ b/src/admission/prompt_quarantine.cc
@@ -9,6 +9,8 @@
 #include <cstdio>
 #include <cstring>
 #include <string>
+#include <tuple>
+#include <utility>
 
 namespace azuregw {
 namespace {
@@ -49,7 +51,7 @@
 
 void PromptQuarantine::OnAnswer(gsl::span<const PartId> parts, TimePoint now) {
   CountRequest(false, now);
-  bool changed = false;
+  std::vector<PartId> changed;
   for (const PartId id : parts) {
     const auto found = m_proof_index.find(id);
     if (found != m_proof_index.end()) {
@@ -64,30 +66,35 @@
       }
     }
     const auto part = m_parts.find(id);
-    if (part != m_parts.end() && !part->second.crashes.empty()) {
-      changed |= AddAnswer(id, now, now);
+    if (part != m_parts.end() && !part->second.crashes.empty() && AddAnswer(id, now, now)) {
+      changed.push_back(id);
     }
   }
-  if (changed) {
-    OnChange();
-  }
+  AddOwn(changed);
 }
 
 void PromptQuarantine::OnCrash(gsl::span<const PartId> parts, ProcessId process, TimePoint when,
                                TimePoint now) {
   CountRequest(true, now);
-  bool changed = false;
+  std::vector<PartId> changed;
   for (const PartId id : parts) {
-    changed |= AddCrash(id, process, when, now);
-  }
-  if (changed) {
-    OnChange();
+    if (AddCrash(id, process, when, now)) {
+      changed.push_back(id);
+    }
   }
+  AddOwn(changed);
 }
 
-void PromptQuarantine::OnChange() {
+void PromptQuarantine::AddOwn(gsl::span<const PartId> changed) {
+  if (changed.empty()) {
+    return;
+  }
   ++m_version;
   ++m_own_version;
+  for (const PartId id : changed) {
+    m_parts[id].version = m_version;
+    m_parts[id].own_version = m_own_version;
+  }
   m_listener();
 }
 
@@ -101,7 +108,7 @@
     const auto proof = m_proof_index.find(id);
     if (proof != m_proof_index.end()) {
       part.answered = proof->second->second;
-      ++m_own_version;
+      part.own_version = ++m_own_version;
     }
   }
   part.changed = now;
@@ -141,6 +148,7 @@
   for (auto crash = part.crashes.begin(); crash != part.crashes.end();) {
     crash = crash->second <= when ? part.crashes.erase(crash) : std::next(crash);
   }
+  part.quarantined = part.quarantined && !part.crashes.empty();
   return first || part.crashes.size() < before;
 }
 
@@ -196,7 +204,6 @@
   if (m_updated_version == m_version && now - m_updated < kExpiryInterval) {
     return;
   }
-  m_updated_version = m_version;
   m_updated = now;
   for (auto part = m_parts.begin(); part != m_parts.end();) {
     auto& crashes = part->second.crashes;
@@ -206,7 +213,6 @@
     const bool expired = crashes.empty() && now - part->second.changed > kAnswerTtl;
     part = expired ? m_parts.erase(part) : std::next(part);
   }
-  const std::set<PartId> before = std::move(m_quarantined);
   m_quarantined.clear();
   m_explained.clear();
   while (true) {
@@ -215,20 +221,28 @@
     for (const auto& [id, part] : m_parts) {
       const CrashCount crashes = Count(part, m_explained);
       // A rising share of crashed requests does not release a part.
-      const int limit = before.count(id) > 0 ? kMinCrashes : Limit(part, crashes);
+      const int limit = part.quarantined ? kMinCrashes : Limit(part, crashes);
       if (m_quarantined.count(id) == 0 && crashes.count >= limit && crashes.count > most) {
         worst = id;
         most = crashes.count;
       }
     }
     if (most == 0) {
-      return;
+      break;
     }
     m_quarantined.insert(worst);
     for (const auto& [process, when] : m_parts[worst].crashes) {
       m_explained.insert(process);
     }
   }
+  std::vector<PartId> added;
+  for (const PartId id : m_quarantined) {
+    if (!std::exchange(m_parts[id].quarantined, true)) {
+      added.push_back(id);
+    }
+  }
+  AddOwn(added);
+  m_updated_version = m_version;
 }
 
 std::optional<PromptQuarantine::Block> PromptQuarantine::Check(gsl::span<const PartId> parts,
@@ -279,38 +293,70 @@
 }
 
 void PromptQuarantine::LiftAll(TimePoint now) {
-  bool changed = false;
-  for (auto& [id, part] : m_parts) {
-    changed |= AddAnswer(id, now, now);
-  }
-  if (changed) {
-    OnChange();
+  std::vector<PartId> changed;
+  for (const auto& [id, part] : m_parts) {
+    if (AddAnswer(id, now, now)) {
+      changed.push_back(id);
+    }
   }
+  AddOwn(changed);
 }
 
-PromptEvidence PromptQuarantine::Evidence(TimePoint now) const {
+PromptEvidence PromptQuarantine::Collect(TimePoint now,
+                                         const std::function<bool(const Part&)>& wanted) const {
   PromptEvidence evidence;
   for (const auto& [id, part] : m_parts) {
+    if (!wanted(part)) {
+      continue;
+    }
     for (const auto& [process, when] : part.crashes) {
       evidence.crashes.push_back({id, process, Age(when, now)});
     }
     if (part.answered) {
       evidence.answers.push_back({id, Age(*part.answered, now)});
     }
+    if (part.quarantined) {
+      evidence.quarantined.push_back(id);
+    }
   }
   return evidence;
 }
 
+PromptEvidence PromptQuarantine::EvidenceSince(uint64_t version, TimePoint now) const {
+  return Collect(now, [version](const Part& part) { return part.version > version; });
+}
+
+PromptEvidence PromptQuarantine::OwnEvidenceSince(uint64_t own_version, TimePoint now) const {
+  return Collect(now, [own_version](const Part& part) { return part.own_version > own_version; });
+}
+
 bool PromptQuarantine::Merge(const PromptEvidence& evidence, TimePoint now) {
-  bool changed = false;
+  std::vector<PartId> changed;
   for (const CrashReport& crash : evidence.crashes) {
-    changed |= AddCrash(crash.part, crash.process, now - crash.age, now);
+    if (AddCrash(crash.part, crash.process, now - crash.age, now)) {
+      changed.push_back(crash.part);
+    }
   }
   for (const AnswerReport& answer : evidence.answers) {
-    changed |= AddAnswer(answer.part, now - answer.age, now);
+    if (AddAnswer(answer.part, now - answer.age, now)) {
+      changed.push_back(answer.part);
+    }
   }
-  m_version += changed ? 1 : 0;
-  return changed;
+  for (const PartId id : evidence.quarantined) {
+    const auto part = m_parts.find(id);
+    if (part != m_parts.end() && !part->second.crashes.empty() &&
+        !std::exchange(part->second.quarantined, true)) {
+      changed.push_back(id);
+    }
+  }
+  if (changed.empty()) {
+    return false;
+  }
+  ++m_version;
+  for (const PartId id : changed) {
+    m_parts[id].version = m_version;
+  }
+  return true;
 }
 
 std::map<PartId, int> PromptQuarantine::Quarantined(TimePoint now) {
@@ -325,7 +371,8 @@
 void PromptQuarantine::DropOldest() {
   auto oldest = m_parts.end();
   const auto order = [this](const auto& entry) {
-    return std::make_pair(m_quarantined.count(entry.first), entry.second.changed);
+    return std::make_tuple(m_quarantined.count(entry.first), entry.second.crashes.size(),
+                           entry.second.changed);
   };
   for (auto part = m_parts.begin(); part != m_parts.end(); ++part) {
     if (oldest == m_parts.end() || order(*part) < order(*oldest)) {
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -423,7 +423,9 @@
 
 void StreamExchange::OnConnectionEnded(const std::string& reason) {
   const std::string first = m_path.hops.front().id;
-  const TimePoint ended_at = Now();
+  // An engine that accepted the request after another one exited did not exit together with it.
+  const TimePoint ended_at =
+      m_crashed ? std::max(Now(), m_crashed_at + PromptQuarantine::kMinCrashInterval) : Now();
   const bool beginning = m_scanner.Events() <= PromptQuarantine::kMaxEventsAtCrash;
   const bool await_check =
       beginning && !m_parts.empty() && !m_context->quarantine->Proven(m_parts, ended_at);
@@ -447,20 +449,23 @@
                          {"parts", names}},
                         true);
   };
-  m_context->exits->Check(
-      first, [this, record, beginning, await_check, reason, alive = std::weak_ptr<int>(m_alive)](
-                 bool exited, int64_t started_ms) {
-        if (exited) {
-          record(started_ms);
-        }
-        if (alive.expired() || Closed()) {
-          return;
-        }
-        m_crashed = m_crashed || (exited && beginning);
-        if (await_check) {
-          Retry(reason, true);
-        }
-      });
+  m_context->exits->Check(first,
+                          [this, record, ended_at, beginning, await_check, reason,
+                           alive = std::weak_ptr<int>(m_alive)](bool exited, int64_t started_ms) {
+                            if (exited) {
+                              record(started_ms);
+                            }
+                            if (alive.expired() || Closed()) {
+                              return;
+                            }
+                            if (exited && beginning) {
+                              m_crashed = true;
+                              m_crashed_at = ended_at;
+                            }
+                            if (await_check) {
+                              Retry(reason, true);
+                            }
+                          });
   if (!await_check && !Closed()) {
     Retry(reason, true);
   }
--- a/src/forward/stream_exchange.h
+++ b/src/forward/stream_exchange.h
@@ -156,6 +156,7 @@
 
   std::vector<PartId> m_parts;  // Shared parts of the prompt.
   bool m_crashed = false;       // An engine exited while it began an answer to this request.
+  TimePoint m_crashed_at;       // Time of the last such exit.
   const EngineProfile* m_profile = nullptr;  // Owned by the configuration of `m_match`.
   double m_reserved_tokens = 0;              // Tokens reserved per layer on each engine.
   std::set<std::string> m_excluded_engines;  // Engines that refused or failed this request.
--- a/src/sync/quarantine_store.cc
+++ b/src/sync/quarantine_store.cc
@@ -78,6 +78,9 @@
     if (entry) {
       PromptEvidence evidence;
       evidence.crashes = Decode(entry->value);
+      for (const CrashReport& crash : evidence.crashes) {
+        evidence.quarantined.push_back(crash.part);
+      }
       m_stored = Ids(evidence.crashes);
       m_quarantine->Merge(evidence, m_loop->Now());
     }
@@ -104,7 +107,7 @@
 std::vector<CrashReport> QuarantineStore::Crashes() const {
   const TimePoint now = m_loop->Now();
   const std::map<PartId, int> quarantined = m_quarantine->Quarantined(now);
-  std::vector<CrashReport> crashes = m_quarantine->Evidence(now).crashes;
+  std::vector<CrashReport> crashes = m_quarantine->EvidenceSince(0, now).crashes;
   crashes.erase(
       std::remove_if(crashes.begin(), crashes.end(),
                      [&](const CrashReport& crash) { return quarantined.count(crash.part) == 0; }),
--- a/src/sync/sync_frames.cc
+++ b/src/sync/sync_frames.cc
@@ -84,6 +84,7 @@
   for (const AnswerReport& answer : evidence.answers) {
     table->answers.emplace_back(answer.part, static_cast<uint32_t>(answer.age.count()));
   }
+  table->quarantined = evidence.quarantined;
 }
 
 template <typename Table>
@@ -95,6 +96,7 @@
   for (const wire::AnswerEntry& answer : table.answers) {
     evidence.answers.push_back({answer.part(), Milliseconds(answer.age_ms())});
   }
+  evidence.quarantined = table.quarantined;
   return evidence;
 }
 
--- a/src/sync/sync_frames.h
+++ b/src/sync/sync_frames.h
@@ -27,7 +27,7 @@
   LoadReport load;
   uint64_t config_version = 0;     // Version of the follower's configuration; 0 if it has none.
   bool config_wanted = false;      // The follower cannot read the newest version from the store.
-  PromptEvidence prompt_evidence;  // All evidence of the follower if it has new one, or empty.
+  PromptEvidence prompt_evidence;  // New evidence; all of it in the first report to a leader.
 };
 
 // The routing configuration as relayed by the leader.
@@ -52,7 +52,7 @@
   // Age of the list, defined as for RelayedConfig::age_us. `list` is empty if unset.
   std::optional<int64_t> list_age_us;
   UpstreamDelta list;
-  PromptEvidence prompt_evidence;  // All evidence of the leader if it changed, or empty.
+  PromptEvidence prompt_evidence;  // Evidence that the receiver does not have.
 };
 
 // Total load of all instances, sent by the leader to every follower.
--- a/src/sync/sync_sessions.cc
+++ b/src/sync/sync_sessions.cc
@@ -80,10 +80,9 @@
       follower->sent_list_version = m_history.Version();
     }
   }
-  if (follower->sent_evidence_version != m_state.quarantine->Version()) {
-    follower->sent_evidence_version = m_state.quarantine->Version();
-    update.prompt_evidence = m_state.quarantine->Evidence(m_state.loop->Now());
-  }
+  update.prompt_evidence =
+      m_state.quarantine->EvidenceSince(follower->sent_evidence_version, m_state.loop->Now());
+  follower->sent_evidence_version = m_state.quarantine->Version();
   return update;
 }
 
@@ -109,10 +108,11 @@
   report.load = BuildLoadReport(*m_state.fleet, m_list.Numbers(), m_number, now);
   report.config_version = m_state.config->Version();
   report.config_wanted = m_state.config->NeedsDocument();
-  if (m_sent_evidence_version != m_state.quarantine->OwnVersion()) {
-    m_sent_evidence_version = m_state.quarantine->OwnVersion();
-    report.prompt_evidence = m_state.quarantine->Evidence(now);
-  }
+  // A new leader gets the evidence of all instances, in case the last one has exited.
+  report.prompt_evidence = m_sent_own_evidence
+                               ? m_state.quarantine->OwnEvidenceSince(*m_sent_own_evidence, now)
+                               : m_state.quarantine->EvidenceSince(0, now);
+  m_sent_own_evidence = m_state.quarantine->OwnVersion();
   m_sent.push_back({report.stamp_us, report.load});
   if (m_sent.size() > kMaxUnacknowledgedReports) {
     m_sent.pop_front();
--- a/src/sync/sync_sessions.h
+++ b/src/sync/sync_sessions.h
@@ -121,8 +121,9 @@
   std::string m_leader;
   InstanceNumber m_number = 0;
   RelayedUpstreams m_list;
-  // Version of this instance's own prompt evidence that the leader has; nullopt before the first.
-  std::optional<uint64_t> m_sent_evidence_version;
+  // Version of this instance's own prompt evidence that the leader has; nullopt before the first
+  // report.
+  std::optional<uint64_t> m_sent_own_evidence;
   std::deque<SentReport> m_sent;  // Last acknowledged report, then those in flight.
   // Whether the leader echoed the front of m_sent; its load is then part of the totals.
   bool m_front_acknowledged = false;
--- a/tests/admission/prompt_crash_simulation.cc
+++ b/tests/admission/prompt_crash_simulation.cc
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "azuregw/admission/prompt_quarantine.h"
@@ -48,7 +49,7 @@
       : m_options(options), m_random(MakeRandom(options.seed)) {
     for (int i = 0; i < options.instances; ++i) {
       m_instances.push_back(std::make_unique<PromptQuarantine>());
-      m_sent_own.push_back(UINT64_MAX);
+      m_sent_own.push_back(std::nullopt);
       m_received.push_back(0);
     }
     m_engines.resize(static_cast<size_t>(options.engines));
@@ -241,7 +242,7 @@
 
   void Restart(size_t instance) {
     m_instances[instance] = std::make_unique<PromptQuarantine>();
-    m_sent_own[instance] = UINT64_MAX;
+    m_sent_own[instance].reset();
     m_received[instance] = 0;
     m_restarted[instance] = m_now;
     for (Stream& stream : m_streams) {
@@ -250,7 +251,7 @@
     if (instance == m_leader) {
       // The next leader knows nothing of what the others have sent to the last one.
       m_leader = (m_leader + 1) % m_instances.size();
-      std::fill(m_sent_own.begin(), m_sent_own.end(), UINT64_MAX);
+      std::fill(m_sent_own.begin(), m_sent_own.end(), std::nullopt);
       std::fill(m_received.begin(), m_received.end(), 0);
     }
   }
@@ -259,15 +260,17 @@
   void Exchange() {
     PromptQuarantine& leader = *m_instances[m_leader];
     for (size_t i = 0; i < m_instances.size(); ++i) {
-      if (i != m_leader && m_sent_own[i] != m_instances[i]->OwnVersion()) {
+      if (i != m_leader) {
+        leader.Merge(m_sent_own[i] ? m_instances[i]->OwnEvidenceSince(*m_sent_own[i], m_now)
+                                   : m_instances[i]->EvidenceSince(0, m_now),
+                     m_now);
         m_sent_own[i] = m_instances[i]->OwnVersion();
-        leader.Merge(m_instances[i]->Evidence(m_now), m_now);
       }
     }
     for (size_t i = 0; i < m_instances.size(); ++i) {
-      if (i != m_leader && m_received[i] != leader.Version()) {
+      if (i != m_leader) {
+        m_instances[i]->Merge(leader.EvidenceSince(m_received[i], m_now), m_now);
         m_received[i] = leader.Version();
-        m_instances[i]->Merge(leader.Evidence(m_now), m_now);
       }
     }
     for (size_t i = 0; i < m_instances.size(); ++i) {
@@ -288,8 +291,8 @@
   TimePoint m_now{std::chrono::hours(1)};
   TimePoint m_bad_from;
   std::vector<std::unique_ptr<PromptQuarantine>> m_instances;
-  std::vector<uint64_t> m_sent_own;  // By instance, as FollowerSession keeps it.
-  std::vector<uint64_t> m_received;  // By instance, as FollowerState keeps it.
+  std::vector<std::optional<uint64_t>> m_sent_own;  // By instance, as FollowerSession keeps it.
+  std::vector<uint64_t> m_received;                 // By instance, as FollowerState keeps it.
   std::map<size_t, TimePoint> m_restarted;
   size_t m_leader = 0;
   std::vector<Engine> m_engines;
--- a/tests/admission/prompt_quarantine_test.cc
+++ b/tests/admission/prompt_quarantine_test.cc
@@ -169,15 +169,32 @@
   for (int i = 0; i < PromptQuarantine::kMaxCrashes; ++i) {
     f.Crash({kBad});
   }
-  other.Merge(f.quarantine.Evidence(f.now), f.now);
+  other.Merge(f.quarantine.EvidenceSince(0, f.now), f.now);
   BOOST_TEST(other.Quarantined(f.now).size() == 1U);
   other.LiftAll(f.now);
-  f.quarantine.Merge(other.Evidence(f.now), f.now);
+  f.quarantine.Merge(other.EvidenceSince(0, f.now), f.now);
   BOOST_TEST(!f.Blocks({kBad}));
-  other.Merge(f.quarantine.Evidence(f.now), f.now);
+  other.Merge(f.quarantine.EvidenceSince(0, f.now), f.now);
   BOOST_TEST(other.Quarantined(f.now).empty());
 }
 
+// Guards against instances that need different numbers of crashes: each would let more engines
+// exit.
+BOOST_AUTO_TEST_CASE(part_quarantined_by_one_instance_is_quarantined_by_all) {
+  Fixture f;
+  f.AnswerOthers();
+  for (int i = 0; i < PromptQuarantine::kMinCrashes; ++i) {
+    f.Crash({kBad});
+  }
+  BOOST_TEST(f.Blocks({kBad}));
+  PromptQuarantine other;
+  for (ProcessId process = 1000; process < 1020; ++process) {
+    other.OnCrash({}, process, f.now, f.now);  // Engines exit often there.
+  }
+  other.Merge(f.quarantine.EvidenceSince(0, f.now), f.now);
+  BOOST_TEST(other.Quarantined(f.now).size() == 1U);
+}
+
 // Guards against evidence that instances send back and forth, and that stays young by it.
 BOOST_AUTO_TEST_CASE(merging_is_idempotent_and_keeps_ages) {
   Fixture f;
@@ -185,12 +202,13 @@
   f.Crash({kShared, kBad});
   f.Crash({kShared, kBad});
   for (int i = 0; i < 1000; ++i) {
-    const bool changed = other.Merge(f.quarantine.Evidence(f.now), f.now + Milliseconds(300));
+    const bool changed =
+        other.Merge(f.quarantine.EvidenceSince(0, f.now), f.now + Milliseconds(300));
     BOOST_TEST(changed == (i == 0));
-    BOOST_TEST(!f.quarantine.Merge(other.Evidence(f.now), f.now));
+    BOOST_TEST(!f.quarantine.Merge(other.EvidenceSince(0, f.now), f.now));
     f.now += Milliseconds(700);
   }
-  for (const CrashReport& crash : f.quarantine.Evidence(f.now).crashes) {
+  for (const CrashReport& crash : f.quarantine.EvidenceSince(0, f.now).crashes) {
     BOOST_TEST((crash.age >= Milliseconds(700000)));
   }
   BOOST_TEST(other.OwnVersion() == 0U);
@@ -198,7 +216,7 @@
   BOOST_TEST(f.quarantine.Quarantined(f.now).empty());
   f.now += Milliseconds(2000);
   f.quarantine.Quarantined(f.now);
-  BOOST_TEST(f.quarantine.Evidence(f.now).crashes.empty());
+  BOOST_TEST(f.quarantine.EvidenceSince(0, f.now).crashes.empty());
 }
 
 // Guards against callers who fill the memory with parts, or displace a bad part with them.
@@ -214,7 +232,7 @@
   }
   f.now += Milliseconds(1500);
   BOOST_TEST(f.Blocks({kBad}));
-  BOOST_TEST(f.quarantine.Evidence(f.now).crashes.size() < 2000U);
+  BOOST_TEST(f.quarantine.EvidenceSince(0, f.now).crashes.size() < 2000U);
 }
 
 // ---- Fleets ----
--- a/tests/sync/sync_sessions_test.cc
+++ b/tests/sync/sync_sessions_test.cc
@@ -401,7 +401,8 @@
   BOOST_REQUIRE(copy.list.changed.size() == 1U);
   BOOST_TEST((copy.list.changed[0].record == update.list.changed[0].record));
   StateUpdate evidence;
-  evidence.prompt_evidence = {{{1ULL << 60, 7, Milliseconds(1500)}}, {{5, Milliseconds(20)}}};
+  evidence.prompt_evidence = {
+      {{1ULL << 60, 7, Milliseconds(1500)}}, {{5, Milliseconds(20)}}, {1ULL << 60}};
   const SharedFrame third = EncodeSyncMessage(evidence);
   const auto decoded_evidence =
       DecodeSyncMessage({third->data() + kFrameHeaderBytes, third->size() - kFrameHeaderBytes});
@@ -413,6 +414,8 @@
   BOOST_TEST((prompts.crashes[0].age == Milliseconds(1500)));
   BOOST_REQUIRE(prompts.answers.size() == 1U);
   BOOST_TEST((prompts.answers[0].age == Milliseconds(20)));
+  BOOST_REQUIRE(prompts.quarantined.size() == 1U);
+  BOOST_TEST(prompts.quarantined[0] == 1ULL << 60);
   FleetTotals totals;
   totals.instances = 9;
   totals.interval = Milliseconds(267);
