Keep suspected prompt parts in the store, too

Cause: eight engines exited within 0.32 s, under requests that two instances had sent at the same time. Exits 30 ms apart counted once, which left four of the five needed, and no further request came before all instances were killed: what was not quarantined yet was not in the store, and counting began anew.

Change: the store keeps the crashes of each part with two or more of them, and which parts are quarantined. Exits at least 20 ms apart count apart. The simulation lets busy instances notice an exit up to 50 ms late.

Why it works: a restart of all instances no longer resets the count, and ordinary crashes write little: the part of a lone exit is not kept.

--- a/include/azuregw/admission/prompt_quarantine.h
+++ b/include/azuregw/admission/prompt_quarantine.h
@@ -70,11 +70,13 @@
   static constexpr int kMinCrashes = 3;
   static constexpr int kMaxCrashes = 5;
   static constexpr double kFalseBlame = 3e-4;
+  // Crashes from which on a part is suspected.
+  static constexpr int kMinSuspectCrashes = 2;
   // An answer proves its parts for this long.
   static constexpr Milliseconds kProofTtl{30000};
   // Crashes within this time count once: engines that exit together have a cause of their own, such
   // as the loss of a failure domain.
-  static constexpr Milliseconds kMinCrashInterval{30};
+  static constexpr Milliseconds kMinCrashInterval{20};
   // Lifetime of a crash, and of the record of the last answer.
   static constexpr Milliseconds kEvidenceTtl{1800000};
   static constexpr Milliseconds kAnswerTtl{60000};
@@ -130,6 +132,8 @@
 
   // Returns the quarantined parts and their uncleared crashes.
   std::map<PartId, int> Quarantined(TimePoint now);
+  // Returns all evidence against the parts with kMinSuspectCrashes or more, which is worth keeping.
+  PromptEvidence EvidenceToKeep(TimePoint now);
 
  private:
   // Limits of the memory; callers choose the parts. Those with the fewest crashes are dropped
--- a/include/azuregw/sync/quarantine_store.h
+++ b/include/azuregw/sync/quarantine_store.h
@@ -1,4 +1,5 @@
-// Keeps the quarantined prompt parts in the store, so that they survive a restart of all instances.
+// Keeps suspected and quarantined prompt parts in the store, so that they survive a restart of all
+// instances.
 //
 // The leader writes them, and each instance reads them once at its start. An operator lifts the
 // quarantine by deleting the key.
@@ -7,13 +8,11 @@
 #define AZUREGW_SYNC_QUARANTINE_STORE_H_
 
 #include <cstdint>
-#include <gsl/span>
 #include <memory>
 #include <set>
 #include <string>
 #include <string_view>
 #include <utility>
-#include <vector>
 
 #include "azuregw/admission/prompt_quarantine.h"
 #include "azuregw/base/clock.h"
@@ -53,12 +52,10 @@
   // Reads the key. `lift`: if it is absent, an operator has deleted it.
   void Read(ReadMode mode, bool lift);
   void Write();
-  // Returns the crashes of the quarantined parts.
-  std::vector<CrashReport> Crashes() const;
-  // Returns crashes as a JSON document.
-  std::string Encode(gsl::span<const CrashReport> crashes) const;
+  // Returns crashes and quarantined parts as a JSON document.
+  std::string Encode(const PromptEvidence& evidence) const;
   // Decodes a document; logs one that is not valid.
-  std::vector<CrashReport> Decode(std::string_view document) const;
+  PromptEvidence Decode(std::string_view document) const;
 
   EventLoop* const m_loop;
   const Clock* const m_clock;
@@ -71,7 +68,7 @@
   bool m_calling = false;   // A call to the store is in progress.
   bool m_loaded = false;    // m_revision and m_stored were read in this term.
   uint64_t m_revision = 0;  // Revision of the key; 0: it does not exist.
-  std::set<std::pair<PartId, ProcessId>> m_stored;  // Crashes in the store.
+  std::set<std::pair<PartId, ProcessId>> m_stored;  // Evidence in the store.
   uint64_t m_seen_version = 0;  // Version of the quarantine that was last compared with m_stored.
   TimePoint m_last_read;
   std::unique_ptr<Timer> m_timer;
--- a/src/admission/prompt_quarantine.cc
+++ b/src/admission/prompt_quarantine.cc
@@ -330,6 +330,13 @@
   return Collect(now, [own_version](const Part& part) { return part.own_version > own_version; });
 }
 
+PromptEvidence PromptQuarantine::EvidenceToKeep(TimePoint now) {
+  Update(now);
+  return Collect(now, [this](const Part& part) {
+    return part.quarantined || Count(part, m_explained).count >= kMinSuspectCrashes;
+  });
+}
+
 bool PromptQuarantine::Merge(const PromptEvidence& evidence, TimePoint now) {
   std::vector<PartId> changed;
   for (const CrashReport& crash : evidence.crashes) {
--- a/src/sync/quarantine_store.cc
+++ b/src/sync/quarantine_store.cc
@@ -12,13 +12,19 @@
 
 using nlohmann::json;
 
+// Stands for the quarantine of a part among its crashes.
+constexpr ProcessId kQuarantined = 0;
+
 uint64_t ParseId(const std::string& text) { return std::strtoull(text.c_str(), nullptr, 16); }
 
-std::set<std::pair<PartId, ProcessId>> Ids(gsl::span<const CrashReport> crashes) {
+std::set<std::pair<PartId, ProcessId>> Ids(const PromptEvidence& evidence) {
   std::set<std::pair<PartId, ProcessId>> ids;
-  for (const CrashReport& crash : crashes) {
+  for (const CrashReport& crash : evidence.crashes) {
     ids.emplace(crash.part, crash.process);
   }
+  for (const PartId part : evidence.quarantined) {
+    ids.emplace(part, kQuarantined);
+  }
   return ids;
 }
 
@@ -46,7 +52,7 @@
   }
   if (m_seen_version != m_quarantine->Version()) {
     m_seen_version = m_quarantine->Version();
-    if (Ids(Crashes()) != m_stored) {
+    if (Ids(m_quarantine->EvidenceToKeep(now)) != m_stored) {
       Write();
       return;
     }
@@ -76,12 +82,8 @@
       m_loaded = m_leading;
     }
     if (entry) {
-      PromptEvidence evidence;
-      evidence.crashes = Decode(entry->value);
-      for (const CrashReport& crash : evidence.crashes) {
-        evidence.quarantined.push_back(crash.part);
-      }
-      m_stored = Ids(evidence.crashes);
+      const PromptEvidence evidence = Decode(entry->value);
+      m_stored = Ids(evidence);
       m_quarantine->Merge(evidence, m_loop->Now());
     }
   });
@@ -89,9 +91,9 @@
 
 void QuarantineStore::Write() {
   m_calling = true;
-  const std::vector<CrashReport> crashes = Crashes();
-  m_store->CompareAndSwap(m_key, m_revision, Encode(crashes), 0,
-                          [this, ids = Ids(crashes)](Result<uint64_t> revision) {
+  const PromptEvidence evidence = m_quarantine->EvidenceToKeep(m_loop->Now());
+  m_store->CompareAndSwap(m_key, m_revision, Encode(evidence), 0,
+                          [this, ids = Ids(evidence)](Result<uint64_t> revision) {
                             m_calling = false;
                             if (revision) {
                               m_revision = revision.value();
@@ -104,45 +106,41 @@
                           });
 }
 
-std::vector<CrashReport> QuarantineStore::Crashes() const {
-  const TimePoint now = m_loop->Now();
-  const std::map<PartId, int> quarantined = m_quarantine->Quarantined(now);
-  std::vector<CrashReport> crashes = m_quarantine->EvidenceSince(0, now).crashes;
-  crashes.erase(
-      std::remove_if(crashes.begin(), crashes.end(),
-                     [&](const CrashReport& crash) { return quarantined.count(crash.part) == 0; }),
-      crashes.end());
-  return crashes;
-}
-
-std::string QuarantineStore::Encode(gsl::span<const CrashReport> crashes) const {
+std::string QuarantineStore::Encode(const PromptEvidence& evidence) const {
   const int64_t now_ms = m_clock->WallMs();
   json list = json::array();
-  for (const CrashReport& crash : crashes) {
+  for (const CrashReport& crash : evidence.crashes) {
     list.push_back({{"part", PartName(crash.part)},
                     {"process", PartName(crash.process)},
                     {"unix_ms", now_ms - crash.age.count()}});
   }
-  return json{{"crashes", list}}.dump();
+  json quarantined = json::array();
+  for (const PartId part : evidence.quarantined) {
+    quarantined.push_back(PartName(part));
+  }
+  return json{{"quarantined", quarantined}, {"crashes", list}}.dump();
 }
 
-std::vector<CrashReport> QuarantineStore::Decode(std::string_view document) const {
-  std::vector<CrashReport> crashes;
+PromptEvidence QuarantineStore::Decode(std::string_view document) const {
+  PromptEvidence evidence;
   const int64_t now_ms = m_clock->WallMs();
   try {
     const json root = json::parse(document);
     for (const json& crash : root.at("crashes")) {
       const int64_t age = now_ms - crash.at("unix_ms").get<int64_t>();
       // Clocks of instances differ, and may jump.
-      crashes.push_back(
+      evidence.crashes.push_back(
           {ParseId(crash.at("part").get<std::string>()),
            ParseId(crash.at("process").get<std::string>()),
            Milliseconds(std::clamp<int64_t>(age, 0, PromptQuarantine::kEvidenceTtl.count()))});
     }
+    for (const json& part : root.at("quarantined")) {
+      evidence.quarantined.push_back(ParseId(part.get<std::string>()));
+    }
   } catch (const json::exception& error) {
     m_log->Write("prompt_quarantine_unreadable", {{"key", m_key}, {"reason", error.what()}}, true);
   }
-  return crashes;
+  return evidence;
 }
 
 }  // namespace azuregw
--- a/tests/admission/prompt_crash_simulation.cc
+++ b/tests/admission/prompt_crash_simulation.cc
@@ -226,7 +226,9 @@
       }
       stream.ended = true;
       if (stream.events <= PromptQuarantine::kMaxEventsAtCrash) {
-        m_instances[stream.instance]->OnCrash(stream.parts, process, m_now, m_now);
+        // Busy instances notice the end of a connection up to 50 ms late.
+        const TimePoint noticed = m_now + Milliseconds(m_random->Below(50));
+        m_instances[stream.instance]->OnCrash(stream.parts, process, noticed, noticed);
         stream.crashed = true;
       }
       if (stream.sends < kMaxSends) {
--- a/tests/sync/quarantine_store_test.cc
+++ b/tests/sync/quarantine_store_test.cc
@@ -76,6 +76,28 @@
   BOOST_TEST(!follower->quarantine.Check(std::vector<PartId>{7}, false, f.loop.Now()).has_value());
 }
 
+// Guards against crashes that count anew after each restart, until the part is quarantined at last
+// (soak seed 15).
+BOOST_AUTO_TEST_CASE(suspected_part_survives_a_restart_of_all_instances) {
+  Fixture f;
+  auto leader = f.Start(true);
+  const auto crash = [&](Instance* instance) {
+    instance->quarantine.OnCrash(kParts, ++f.process, f.loop.Now(), f.loop.Now());
+    f.loop.Advance(Milliseconds(300));
+  };
+  for (int i = 0; i < PromptQuarantine::kMinSuspectCrashes; ++i) {
+    crash(leader.get());
+  }
+  BOOST_TEST(!leader->Blocks(f.loop.Now()));
+  f.loop.Advance(Milliseconds(600));
+  const auto next = f.Start(false);
+  BOOST_TEST(!next->Blocks(f.loop.Now()));
+  for (int i = PromptQuarantine::kMinSuspectCrashes; i < PromptQuarantine::kMaxCrashes; ++i) {
+    crash(next.get());
+  }
+  BOOST_TEST(next->Blocks(f.loop.Now()));
+}
+
 BOOST_AUTO_TEST_CASE(deleted_key_lifts_the_quarantine) {
   Fixture f;
   const auto leader = f.Start(true);
