Account for the slots of the engines at which paths begin

Cause: an engine serves a number of streams as their first engine at a time and lets further ones wait. Path choice counted memory only. When limited engines begin fewer paths, the others begin more than they have slots for.

Ruled out: the queue of the instances (4 ms at the 0.9 quantile).

Change: instances report the streams that they have begun at each engine; beginning at an engine costs the expected wait for a slot, from 0.85 of the slots on. Nothing is refused for it.

Why it works: the wait is part of the latency that the cost of a path stands for, so paths begin elsewhere before streams wait.

--- a/include/azuregw/fleet/fleet.h
+++ b/include/azuregw/fleet/fleet.h
@@ -65,6 +65,8 @@
   UpstreamRecord record;
   UpstreamLoad own_load;     // Requests of this instance.
   UpstreamLoad others_load;  // Requests of the other instances, from their load reports.
+  int own_begun = 0;         // Streams of this instance whose paths begin at the upstream.
+  int others_begun = 0;      // The same of the other instances, from their load reports.
   TimePoint own_progress;   // Last response data received here from a request through the upstream.
   TimePoint last_progress;  // Last response data at any instance, as far as reported.
   TimePoint suspect_until;  // End of the suspicion, whoever raised it.
@@ -168,6 +170,12 @@
   void Reserve(const std::string& id, double token_layers);
   // Removes a request that Reserve() added.
   void Release(const std::string& id, double token_layers);
+  // Adds a stream whose path begins at `id`.
+  void BeginPath(const std::string& id);
+  // Removes a stream that BeginPath() added.
+  void EndPath(const std::string& id);
+  // Replaces the streams of the other instances whose paths begin at each upstream.
+  void SetOtherInstancesBegun(const std::unordered_map<std::string, int>& begun);
   // Replaces the load of the other instances at all upstreams.
   void SetOtherInstancesLoad(const std::unordered_map<std::string, UpstreamLoad>& loads);
   // Records response data received here through `id`; resets its failure count.
--- a/include/azuregw/fleet/fleet_load_table.h
+++ b/include/azuregw/fleet/fleet_load_table.h
@@ -46,6 +46,12 @@
   double pace = 1;  // Slowdown factor; above 1 is slower than normal for the accelerator kind.
 };
 
+// Streams whose paths begin at an upstream.
+struct BegunReport {
+  UpstreamNumber upstream = 0;
+  int streams = 0;
+};
+
 // Rate limit that an upstream stated `age` ago; nullopt: it stated that it has none.
 struct RateLimitReport {
   UpstreamNumber upstream = 0;
@@ -66,6 +72,7 @@
   std::vector<PaceReport> paces;
   std::vector<LinkRateReport> links;
   std::vector<RateLimitReport> rate_limits;
+  std::vector<BegunReport> begun;
 };
 
 // Holds the latest load report of each instance and computes the totals.
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -234,6 +234,25 @@
   }
 }
 
+void Fleet::BeginPath(const std::string& id) {
+  if (Upstream* const upstream = Find(id)) {
+    ++upstream->own_begun;
+  }
+}
+
+void Fleet::EndPath(const std::string& id) {
+  if (Upstream* const upstream = Find(id)) {
+    upstream->own_begun = std::max(0, upstream->own_begun - 1);
+  }
+}
+
+void Fleet::SetOtherInstancesBegun(const std::unordered_map<std::string, int>& begun) {
+  for (auto& [id, upstream] : m_upstreams) {
+    const auto found = begun.find(id);
+    upstream.others_begun = found == begun.end() ? 0 : found->second;
+  }
+}
+
 void Fleet::SetOtherInstancesLoad(const std::unordered_map<std::string, UpstreamLoad>& loads) {
   for (auto& [id, upstream] : m_upstreams) {
     const auto found = loads.find(id);
--- a/src/fleet/fleet_load_table.cc
+++ b/src/fleet/fleet_load_table.cc
@@ -47,6 +47,7 @@
   std::map<UpstreamNumber, PaceReport> paces;
   std::map<LinkId, double> links;
   std::map<UpstreamNumber, RateLimitReport> rate_limits;
+  std::map<UpstreamNumber, int> begun;
   for (auto entry = m_reports.begin(); entry != m_reports.end();) {
     const auto age = std::chrono::duration_cast<Milliseconds>(now - entry->second.received);
     if (age > kReportTtl) {
@@ -71,6 +72,9 @@
     for (const LinkRateReport& link : report.links) {
       links[link.link] += link.tokens_per_s;
     }
+    for (const BegunReport& entry_begun : report.begun) {
+      begun[entry_begun.upstream] += entry_begun.streams;
+    }
     for (RateLimitReport limit : report.rate_limits) {
       limit.age += age;
       const auto newest = rate_limits.emplace(limit.upstream, limit).first;
@@ -96,6 +100,9 @@
   for (const auto& [upstream, limit] : rate_limits) {
     totals.rate_limits.push_back(limit);
   }
+  for (const auto& [upstream, streams] : begun) {
+    totals.begun.push_back({upstream, streams});
+  }
   return totals;
 }
 
@@ -134,6 +141,9 @@
       report.paces.push_back(
           {*number, reporter, Remaining(upstream.slowdown_until, now), upstream.slowdown});
     }
+    if (upstream.own_begun > 0) {
+      report.begun.push_back({*number, upstream.own_begun});
+    }
     if (limit) {
       report.rate_limits.push_back({*number, upstream.rate_limit, limit_age});
     }
@@ -179,6 +189,18 @@
       fleet->ApplyPaceReport(*id, pace.pace, pace.remaining, now);
     }
   }
+  std::unordered_map<std::string, int> begun;
+  for (const BegunReport& report : totals.begun) {
+    if (const std::string* const id = numbers.IdOf(report.upstream)) {
+      begun[*id] += report.streams;
+    }
+  }
+  for (const BegunReport& report : own.begun) {
+    if (const std::string* const id = numbers.IdOf(report.upstream)) {
+      begun[*id] = std::max(0, begun[*id] - report.streams);
+    }
+  }
+  fleet->SetOtherInstancesBegun(begun);
   for (const RateLimitReport& limit : totals.rate_limits) {
     if (const std::string* const id = numbers.IdOf(limit.upstream)) {
       fleet->ApplyRateLimitReport(*id, limit.per_s, now - limit.age, now);
--- a/src/fleet/path_selector.cc
+++ b/src/fleet/path_selector.cc
@@ -22,6 +22,12 @@
 constexpr double kMaxModeledPromptUtilization = 0.95;
 // Weight of a delay of the first event relative to the same delay spread over the response.
 constexpr double kFirstEventWeight = 4.0;
+// Share of an engine's slots that streams may begin at without cost. The rest covers streams that
+// other instances have begun since their reports.
+constexpr double kFreeSlotUse = 0.85;
+// Time of a token of a loaded path, in ms. All slots of an engine become free once in the time of a
+// response.
+constexpr double kSlotTokenMs = 20;
 // Maximum number of searches that distribute the unseen streams.
 constexpr int kMaxAssumedBatches = 6;
 // Maximum number of repeated searches that exclude an overloaded engine.
@@ -77,6 +83,16 @@
              : static_cast<double>(upstream.own_load.requests + upstream.others_load.requests);
 }
 
+// Returns the cost per output token of beginning at an engine that serves `slots` streams as their
+// first engine at a time. Further ones wait there until others end.
+double SlotWaitCostMs(const Upstream& upstream, const PathQuery& query) {
+  const double begun = query.assumed_instances > 0
+                           ? static_cast<double>(upstream.own_begun) * query.assumed_instances
+                           : static_cast<double>(upstream.own_begun + upstream.others_begun);
+  const double use = (begun + 1) / std::max(1, upstream.record.slots);
+  return kFirstEventWeight * std::max(0.0, use - kFreeSlotUse) * kSlotTokenMs;
+}
+
 // Returns the cost per output token of waiting for the prompts of `streams` streams that started at
 // the same time.
 double PromptBacklogMs(const EngineProfile& profile, const EngineModel& model, int layers,
@@ -306,7 +322,8 @@
         for (int previous = 0; previous < (entering ? 1 : domain_count); ++previous) {
           double cost = time;
           if (entering) {
-            cost += entry_domain == candidate.domain ? kLocalHopMs : profile.zone_delay_ms;
+            cost += (entry_domain == candidate.domain ? kLocalHopMs : profile.zone_delay_ms) +
+                    SlotWaitCostMs(*candidate.upstream, query);
           } else {
             const LinkCost& link =
                 links[static_cast<size_t>(previous) * static_cast<size_t>(domain_count) +
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -299,6 +299,7 @@
   m_context->quarantine->OnSent(m_parts, Now());
   m_context->queue->OnStarted(Now());
   m_context->fleet->OnStart(first.id, Now());
+  m_context->fleet->BeginPath(first.id);
   m_attempt_started = Now();
   m_last_bytes = m_attempt_started;
   m_attempt_active = true;
@@ -343,6 +344,7 @@
   m_context->monitor->End(this);
   m_silence_timer.reset();
   m_call->Cancel();
+  m_context->fleet->EndPath(m_path.hops.front().id);
   for (const PathHop& hop : m_path.hops) {
     m_context->fleet->Release(hop.id, Reservation(hop));
   }
--- a/src/sync/sync_frames.cc
+++ b/src/sync/sync_frames.cc
@@ -39,6 +39,10 @@
   for (const LinkRateReport& link : load.links) {
     table->links.emplace_back(link.link, static_cast<float>(link.tokens_per_s));
   }
+  for (const BegunReport& begun : load.begun) {
+    table->begun.emplace_back(begun.upstream,
+                              static_cast<uint16_t>(std::min(begun.streams, int{UINT16_MAX})));
+  }
   for (const RateLimitReport& limit : load.rate_limits) {
     table->limits.emplace_back(limit.upstream, static_cast<uint32_t>(limit.age.count()),
                                static_cast<float>(limit.per_s.value_or(kNoRateLimit)));
@@ -66,6 +70,9 @@
   for (const wire::LinkEntry& entry : table.links) {
     load.links.push_back({entry.link(), entry.tokens_per_s()});
   }
+  for (const wire::BegunEntry& entry : table.begun) {
+    load.begun.push_back({entry.number(), entry.streams()});
+  }
   for (const wire::LimitEntry& entry : table.limits) {
     load.rate_limits.push_back(
         {entry.number(), entry.per_s() < 0 ? std::nullopt : std::optional<double>(entry.per_s()),
--- a/tests/fleet/path_selector_test.cc
+++ b/tests/fleet/path_selector_test.cc
@@ -105,6 +105,28 @@
   BOOST_TEST(crossings < 60);
 }
 
+// Load pattern: most first engines state a rate limit (dathanna grown, capped), and the others have
+// memory for more streams than slots. Guards against streams that wait for a slot of one engine
+// while others have free ones.
+BOOST_AUTO_TEST_CASE(paths_begin_elsewhere_before_the_slots_of_an_engine_are_full) {
+  Fixture f;
+  std::map<std::string, int> begun;
+  for (int i = 0; i < 500; ++i) {
+    const auto path = f.selector.Choose(f.fleet, f.query, &f.problem);
+    BOOST_REQUIRE(path.has_value());
+    const std::string& first = path->hops.front().id;
+    f.fleet.BeginPath(first);
+    BOOST_TEST(++begun[first] <= f.fleet.Find(first)->record.slots);
+  }
+  // An engine that is the only one is used beyond its slots.
+  for (const auto& [id, upstream] : f.fleet.All()) {
+    for (int i = 0; i < 400; ++i) {
+      f.fleet.BeginPath(id);
+    }
+  }
+  BOOST_TEST(f.selector.Choose(f.fleet, f.query, &f.problem).has_value());
+}
+
 // Load pattern: a third of the engines fails. Guards against rejections while the remaining engines
 // hold all layers.
 BOOST_AUTO_TEST_CASE(suspect_engines_are_excluded) {
