Keep rate shares while the leader changes

What callers would see: nothing; an engine that states a limit would get up to the whole limit from each of many instances for a second after a leader was lost.

Cause: the number of an instance fell to zero with the connection to its leader while the count of instances was still in use, so that all instances had the place of the old leader; and a new leader counts the instances from one, which gives the first ones the whole limit.

Evidence: found by reading the change; rate_share/new_leader_that_counts_from_one_does_not_raise_shares describes the counts that a new leader sends.

Change: PositionTracker keeps the number until the next totals, and takes a lower count only after 5 s, as the shared retry budget does.

Why it works: shares change only with a message of a leader, and never upwards because instances are not counted yet.

--- a/include/azuregw/fleet/rate_share.h
+++ b/include/azuregw/fleet/rate_share.h
@@ -22,6 +22,27 @@
   int instances = 1;
 };
 
+// Follows the position of this instance through changes of the leader. A new leader counts the
+// instances from one, and shares that follow from such a count would exceed limits.
+class PositionTracker {
+ public:
+  // A lower number of instances counts after this time.
+  static constexpr Milliseconds kLowerCountTime{5000};
+
+  explicit PositionTracker(const FleetPosition& start) : m_position(start) {}
+
+  // Records the number that the leader assigned to this instance, and its count of instances.
+  void Update(uint32_t number, int instances, TimePoint now);
+  const FleetPosition& Position() const { return m_position; }
+
+ private:
+  FleetPosition m_position;
+  bool m_known = false;  // Update() was called.
+  // Largest count since `m_lower_since`, when counts became lower than the position's; 0: none is.
+  int m_lower_count = 0;
+  TimePoint m_lower_since;
+};
+
 // Returns the requests per second that the instance at `position` may send to `upstream`; 0 if it
 // leaves the limit to others. The shares of all instances add up to the limit, which is raised to
 // kMinRateLimit.
--- a/include/azuregw/sync/state_exchange.h
+++ b/include/azuregw/sync/state_exchange.h
@@ -35,7 +35,8 @@
   // Returns the number of instances that share the load, or nullopt while the load of the others is
   // unknown or stale.
   virtual std::optional<int> InstanceCount() const = 0;
-  // Returns the number of this instance among them. Numbers are assigned anew by each leader.
+  // Returns the number of this instance among them, as of the last totals. Each leader assigns the
+  // numbers anew.
   virtual InstanceNumber Number() const = 0;
   // Returns the mean age of the load that the last totals contain.
   virtual Milliseconds LoadAge() const = 0;
--- a/src/fleet/rate_share.cc
+++ b/src/fleet/rate_share.cc
@@ -9,6 +9,25 @@
 
 namespace azuregw {
 
+void PositionTracker::Update(uint32_t number, int instances, TimePoint now) {
+  m_position.number = number;
+  instances = std::max(1, instances);
+  if (!m_known || instances >= m_position.instances) {
+    m_known = true;
+    m_position.instances = instances;
+    m_lower_count = 0;
+    return;
+  }
+  if (m_lower_count == 0) {
+    m_lower_since = now;
+  }
+  m_lower_count = std::max(m_lower_count, instances);
+  if (now - m_lower_since >= kLowerCountTime) {
+    m_position.instances = m_lower_count;
+    m_lower_count = 0;
+  }
+}
+
 double RateShare(double limit, std::string_view upstream, const FleetPosition& position) {
   limit = std::max(limit, kMinRateLimit);
   const auto instances = static_cast<uint32_t>(std::max(1, position.instances));
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -80,6 +80,7 @@
                  m_log.get()),
         m_engine_health_checker(m_loop.get(), &m_fleet, &m_monitor, m_platform.engines.get(),
                                 m_log.get()),
+        m_position({static_cast<uint32_t>(StableHash(settings.name)), kAssumedInstances}),
         m_exit_checker(m_loop.get(), &m_fleet, m_platform.engines.get(), m_log.get(),
                        m_metrics.get()),
         m_signals(m_io, SIGTERM, SIGINT, SIGHUP) {
@@ -100,8 +101,7 @@
     m_context.random = m_random.get();
     m_context.settings = settings;
     m_context.assumed_instances = kAssumedInstances;
-    m_fleet.SetPosition({static_cast<uint32_t>(StableHash(settings.name)), kAssumedInstances},
-                        m_loop->Now());
+    m_fleet.SetPosition(m_position.Position(), m_loop->Now());
   }
 
   // Runs the event loop and ends the process. Returns only if the instance cannot start; the result
@@ -245,7 +245,8 @@
         m_last_instances = *instances;
         m_context.instances = m_last_instances;
         m_context.load_age = m_exchange->LoadAge();
-        m_fleet.SetPosition({m_exchange->Number(), m_last_instances}, m_loop->Now());
+        m_position.Update(m_exchange->Number(), m_last_instances, m_loop->Now());
+        m_fleet.SetPosition(m_position.Position(), m_loop->Now());
         m_budget.SetInstances(m_last_instances, m_loop->Now());
         m_store_retry.SetInstances(m_last_instances);
       }
@@ -349,6 +350,7 @@
   QuarantineStore m_quarantine_store;
   LayoutController m_layout;
   EngineHealthChecker m_engine_health_checker;
+  PositionTracker m_position;
   EngineExitChecker m_exit_checker;
   asio::signal_set m_signals;
   ForwardContext m_context;
--- a/src/sync/state_exchange.cc
+++ b/src/sync/state_exchange.cc
@@ -78,9 +78,7 @@
     return m_instances;
   }
 
-  InstanceNumber Number() const override {
-    return m_follower_session ? m_follower_session->Number() : LeaderSession::kOwnNumber;
-  }
+  InstanceNumber Number() const override { return m_number; }
 
   Milliseconds LoadAge() const override {
     // A report is half an interval old on average when it enters the totals.
@@ -197,7 +195,7 @@
         connection->Send(frame);
       }
     }
-    OnTotals(totals, m_name);
+    OnTotals(totals, m_name, LeaderSession::kOwnNumber);
   }
 
   // Reports to the leader; connects to it first if necessary.
@@ -242,7 +240,7 @@
       m_follower_session->OnUpdate(*update);
     } else if (const auto* const totals = std::get_if<FleetTotals>(&message)) {
       m_follower_session->OnTotals(*totals);
-      OnTotals(*totals, m_follower_session->Leader());
+      OnTotals(*totals, m_follower_session->Leader(), m_follower_session->Number());
     }
   }
 
@@ -254,7 +252,7 @@
     m_follower_session.reset();
   }
 
-  void OnTotals(const FleetTotals& totals, const std::string& leader) {
+  void OnTotals(const FleetTotals& totals, const std::string& leader, InstanceNumber number) {
     if (!m_totals_known || totals.instances != m_instances) {
       m_dependencies.log->Write("load_shared",
                                 {{"instances", totals.instances}, {"holder", leader}}, false);
@@ -266,6 +264,7 @@
     m_totals_known = true;
     m_totals_received = m_loop->Now();
     m_instances = totals.instances;
+    m_number = number;
   }
 
   asio::io_context* const m_io;
@@ -288,6 +287,7 @@
   TimePoint m_last_tick;
   TimePoint m_totals_received;
   int m_instances = 0;
+  InstanceNumber m_number = 0;  // As of the last totals; kept while there is no leader.
   Milliseconds m_interval = kInitialInterval;  // Interval of ticks, set by the leader.
   std::unique_ptr<Timer> m_timer;
   std::unique_ptr<Timer> m_accept_timer;
--- a/tests/fleet/rate_share_test.cc
+++ b/tests/fleet/rate_share_test.cc
@@ -152,6 +152,30 @@
   }
 }
 
+// Load pattern: the leader of a large fleet is lost, and the next one counts the instances from
+// one. Guards against the first instances that it counts taking a whole limit each.
+BOOST_AUTO_TEST_CASE(new_leader_that_counts_from_one_does_not_raise_shares) {
+  TimePoint now{std::chrono::hours(1)};
+  PositionTracker tracker({5, 8});
+  tracker.Update(17, 295, now);
+  BOOST_TEST(tracker.Position().number == 17U);
+  BOOST_TEST(tracker.Position().instances == 295);
+  for (int count = 1; count < 290; count += 20) {
+    now += Milliseconds(100);
+    tracker.Update(3, count, now);
+    BOOST_TEST(tracker.Position().number == 3U);
+    BOOST_TEST(tracker.Position().instances == 295);
+  }
+  // A count that stays lower is right in the end.
+  for (int i = 0; i < 60; ++i) {
+    now += Milliseconds(100);
+    tracker.Update(3, 290, now);
+  }
+  BOOST_TEST(tracker.Position().instances == 290);
+  tracker.Update(3, 296, now);
+  BOOST_TEST(tracker.Position().instances == 296);
+}
+
 // Guards against an instance that never sends to an engine whose limit has ended.
 BOOST_AUTO_TEST_CASE(limit_ends_with_an_answer_that_states_none) {
   const TimePoint start{std::chrono::hours(1)};
