Bound the evidence that one request can add

What callers would see: nothing; a request with thousands of prompt parts whose engine exits would leave as many entries at every instance.

Cause: the limit of 256 parts dropped an entry for each new one, but the new versions were then set for all parts of the request, which brought the dropped ones back without evidence.

Evidence: found by reading the change; prompt_quarantine/request_with_many_parts_takes_bounded_memory failed before (5,000 entries, 256 allowed).

Change: only entries that are still there get a version.

--- a/include/azuregw/admission/prompt_quarantine.h
+++ b/include/azuregw/admission/prompt_quarantine.h
@@ -130,6 +130,8 @@
   // Sets the callback that runs when this instance has evidence that the others need immediately.
   void SetListener(std::function<void()> listener) { m_listener = std::move(listener); }
 
+  // Returns the number of parts with evidence.
+  size_t Size() const { return m_parts.size(); }
   // Returns the quarantined parts and their uncleared crashes.
   std::map<PartId, int> Quarantined(TimePoint now);
   // Returns all evidence against the parts with kMinSuspectCrashes or more, which is worth keeping.
@@ -183,7 +185,7 @@
   PromptEvidence Collect(TimePoint now, const std::function<bool(const Part&)>& wanted) const;
   // Recomputes m_quarantined if the evidence changed, and drops expired evidence.
   void Update(TimePoint now);
-  void DropOldest();
+  void DropWeakest();
 
   std::unordered_map<PartId, Part> m_parts;  // Parts with crashes, or answered after some.
   // Last answers written here, newest first. `m_proof_index` refers to all elements of the list.
--- a/src/admission/prompt_quarantine.cc
+++ b/src/admission/prompt_quarantine.cc
@@ -92,8 +92,12 @@
   ++m_version;
   ++m_own_version;
   for (const PartId id : changed) {
-    m_parts[id].version = m_version;
-    m_parts[id].own_version = m_own_version;
+    // A request with very many parts may have displaced some of its own.
+    const auto part = m_parts.find(id);
+    if (part != m_parts.end()) {
+      part->second.version = m_version;
+      part->second.own_version = m_own_version;
+    }
   }
   m_listener();
 }
@@ -101,7 +105,7 @@
 bool PromptQuarantine::AddCrash(PartId id, ProcessId process, TimePoint when, TimePoint now) {
   const bool is_new = m_parts.count(id) == 0;
   if (is_new && m_parts.size() >= kMaxParts) {
-    DropOldest();
+    DropWeakest();
   }
   Part& part = m_parts[id];
   if (is_new) {
@@ -361,7 +365,10 @@
   }
   ++m_version;
   for (const PartId id : changed) {
-    m_parts[id].version = m_version;
+    const auto part = m_parts.find(id);
+    if (part != m_parts.end()) {
+      part->second.version = m_version;
+    }
   }
   return true;
 }
@@ -375,18 +382,18 @@
   return result;
 }
 
-void PromptQuarantine::DropOldest() {
-  auto oldest = m_parts.end();
+void PromptQuarantine::DropWeakest() {
+  auto weakest = m_parts.end();
   const auto order = [this](const auto& entry) {
     return std::make_tuple(m_quarantined.count(entry.first), entry.second.crashes.size(),
                            entry.second.changed);
   };
   for (auto part = m_parts.begin(); part != m_parts.end(); ++part) {
-    if (oldest == m_parts.end() || order(*part) < order(*oldest)) {
-      oldest = part;
+    if (weakest == m_parts.end() || order(*part) < order(*weakest)) {
+      weakest = part;
     }
   }
-  m_parts.erase(oldest);
+  m_parts.erase(weakest);
 }
 
 }  // namespace azuregw
--- a/tests/admission/prompt_quarantine_test.cc
+++ b/tests/admission/prompt_quarantine_test.cc
@@ -235,6 +235,24 @@
   BOOST_TEST(f.quarantine.EvidenceSince(0, f.now).crashes.size() < 2000U);
 }
 
+// Guards against one request whose prompt has more parts than the memory is meant for.
+BOOST_AUTO_TEST_CASE(request_with_many_parts_takes_bounded_memory) {
+  Fixture f;
+  std::vector<PartId> parts;
+  for (PartId part = 1; part <= 5000; ++part) {
+    parts.push_back(part);
+  }
+  f.Crash(parts);
+  BOOST_TEST(f.quarantine.Size() <= 256U);
+  PromptQuarantine other;
+  PromptEvidence evidence;
+  for (const PartId part : parts) {
+    evidence.crashes.push_back({part, 1, Milliseconds(0)});
+  }
+  other.Merge(evidence, f.now);
+  BOOST_TEST(other.Size() <= 256U);
+}
+
 // ---- Fleets ----
 
 // Load pattern: dathanna inc1, at the sizes of the smallest and the largest deployment, from a cold
