Log restores of the store, and the versions that it offers again

Store-Era is decoded in platform/ and kept in StoreEra, which compares the eras of calls and answers; AsyncKeyValueStore hands it to its users. store_restored, config_behind, the era in config_adopted and duty_taken, and the metrics azuregw_store_era and azuregw_store_restores are new. Nothing acts on the era yet.

--- a/include/azuregw/kv/async_key_value_store.h
+++ b/include/azuregw/kv/async_key_value_store.h
@@ -13,6 +13,7 @@
 #include "azuregw/base/clock.h"
 #include "azuregw/base/result.h"
 #include "azuregw/kv/key_value_store.h"
+#include "azuregw/kv/store_era.h"
 
 namespace azuregw {
 
@@ -38,6 +39,8 @@
   using ReplyCallback = std::function<void(Result<T>)>;
 
   virtual ~AsyncKeyValueStore() = default;
+  // Returns the era of the store as known from its answers. Lives as long as the store.
+  virtual StoreEra* Era() = 0;
   // Errors: kKvUnavailable.
   virtual void Get(const std::string& key, ReadMode mode, ReplyCallback<KvReading> done) = 0;
   // All pages; they are not a snapshot. Errors: kKvUnavailable.
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -102,6 +102,8 @@
     m_context.settings = settings;
     m_context.assumed_instances = kAssumedInstances;
     m_fleet.SetPosition(m_position.Position(), m_loop->Now());
+    m_platform.store->Era()->AddListener(
+        [this](uint64_t previous, std::string_view source) { OnStoreRestored(previous, source); });
   }
 
   // Runs the event loop and ends the process. Returns only if the instance cannot start; the result
@@ -176,6 +178,16 @@
                : settings.key_removal_bound - kMaxWatchDelay - kKeyCheckMargin;
   }
 
+  void OnStoreRestored(uint64_t previous_era, std::string_view source) {
+    m_log->Write("store_restored",
+                 {{"era", m_platform.store->Era()->Current()},
+                  {"previous_era", previous_era},
+                  {"source", source},
+                  {"config_version", m_routes.Version()},
+                  {"leading", m_leader_lease.Held()}},
+                 true);
+  }
+
   int ReportStartFailure(const Error& error) {
     m_log->Write("start_failed",
                  {{"code", static_cast<int>(error.code)}, {"reason", error.message}}, true);
@@ -212,6 +224,10 @@
 
   StatusReply Metrics() {
     m_metrics->Set("azuregw_config_version", "", static_cast<double>(m_routes.Version()));
+    m_metrics->Set("azuregw_store_era", "",
+                   static_cast<double>(m_platform.store->Era()->Current()));
+    m_metrics->Set("azuregw_store_restores", "",
+                   static_cast<double>(m_platform.store->Era()->Restores()));
     m_metrics->Set("azuregw_upstreams", "", static_cast<double>(m_fleet.All().size()));
     const auto limited =
         std::count_if(m_fleet.All().begin(), m_fleet.All().end(),
--- a/src/placement/leader_lease.cc
+++ b/src/placement/leader_lease.cc
@@ -166,7 +166,12 @@
   m_valid_until = requested_at + kTtl - kExpiryMargin;
   m_leader_value = m_own_value;
   m_last_known_leader = true;
-  m_log->Write("duty_taken", {{"duty", m_key}, {"fencing_token", token}}, true);
+  m_log->Write("duty_taken",
+               {{"duty", m_key},
+                {"fencing_token", token},
+                {"lease", m_lease_id},
+                {"store_era", m_store->Era()->Current()}},
+               true);
   Schedule(kRenewInterval, &LeaderLease::Renew);
 }
 
--- a/src/sync/config_watcher.cc
+++ b/src/sync/config_watcher.cc
@@ -58,6 +58,7 @@
                   {"previous_version", previous},
                   {"source", source},
                   {"store_revision", m_revision},
+                  {"store_era", m_store->Era()->Current()},
                   {"routes", shared->routes.size()},
                   {"services", shared->services.size()},
                   {"workspaces", shared->workspaces.size()}},
@@ -65,6 +66,14 @@
     if (m_listener) {
       m_listener();
     }
+  } else if (shared->version < previous) {
+    m_log->Write("config_behind",
+                 {{"version", previous},
+                  {"offered_version", shared->version},
+                  {"source", source},
+                  {"store_revision", m_revision},
+                  {"store_era", m_store->Era()->Current()}},
+                 true);
   }
   return true;
 }
--- a/tests/support/fake_async_store.h
+++ b/tests/support/fake_async_store.h
@@ -47,7 +47,24 @@
     }
   }
 
+  // Keeps a copy of all items and leases.
+  void BackUp() { m_backup = {m_items, m_leases, m_revision, m_last_lease}; }
+  // Returns to the copy. Its leases run on from now; revisions and lease IDs are given out again.
+  void Restore() {
+    m_items = m_backup.items;
+    m_leases = m_backup.leases;
+    for (auto& [id, end] : m_leases) {
+      end = m_loop->Now() + m_ttls[id];
+    }
+    m_revision = m_backup.revision;
+    m_last_lease = m_backup.last_lease;
+    ++m_stated_era;
+  }
+  uint64_t m_stated_era = StoreEra::kFirst;  // Era in the answers.
+  uint64_t Revision() const { return m_revision; }
+
   // ---- AsyncKeyValueStore ----
+  StoreEra* Era() override { return &m_era; }
   void Get(const std::string& key, ReadMode /*mode*/, ReplyCallback<KvReading> done) override {
     Answer<KvReading>(std::move(done), [this, key]() -> Result<KvReading> {
       KvReading reading;
@@ -74,7 +91,13 @@
   void Watch(const std::string& prefix, uint64_t after, Milliseconds wait,
              ReplyCallback<KvWatchReply> done) override {
     ++m_calls;
-    WatchStep(prefix, after, m_loop->Now() + wait, std::move(done));
+    WatchStep(prefix, after, m_loop->Now() + wait,
+              [this, sent = m_era.Current(), done = std::move(done)](Result<KvWatchReply> reply) {
+                if (reply) {
+                  m_era.OnAnswer(sent, m_stated_era, m_loop->Now());
+                }
+                done(std::move(reply));
+              });
   }
   void CompareAndSwap(const std::string& key, uint64_t expected, const std::string& value,
                       uint64_t lease, ReplyCallback<uint64_t> done) override {
@@ -124,16 +147,28 @@
     uint64_t revision = 0;
     uint64_t lease = 0;
   };
+  struct Backup {
+    std::map<std::string, Item> items;
+    std::map<uint64_t, TimePoint> leases;
+    uint64_t revision = 1;
+    uint64_t last_lease = 0;
+  };
   static constexpr Milliseconds kLatency{4};
   static constexpr Milliseconds kTimeLimit{1500};
 
   template <class T>
   void Answer(ReplyCallback<T> done, std::function<Result<T>()> action) {
     ++m_calls;
-    Later(m_down ? kTimeLimit : kLatency,
-          [down = m_down, done = std::move(done), action = std::move(action)] {
-            done(down ? Result<T>(NotRun(ResultCode::kKvUnavailable, "down")) : action());
-          });
+    Later(m_down ? kTimeLimit : kLatency, [this, sent = m_era.Current(), down = m_down,
+                                           done = std::move(done), action = std::move(action)] {
+      if (down) {
+        done(NotRun(ResultCode::kKvUnavailable, "down"));
+        return;
+      }
+      Result<T> answer = action();
+      m_era.OnAnswer(sent, m_stated_era, m_loop->Now());
+      done(std::move(answer));
+    });
   }
   void WatchStep(const std::string& prefix, uint64_t after, TimePoint end,
                  ReplyCallback<KvWatchReply> done) {
@@ -171,6 +206,8 @@
   std::map<std::string, uint64_t> m_deleted;
   std::map<uint64_t, TimePoint> m_leases;
   std::map<uint64_t, Milliseconds> m_ttls;
+  Backup m_backup;
+  StoreEra m_era;
   std::vector<std::unique_ptr<Timer>> m_timers;
 };
 
