Reproduce the faults of a store that comes back older

The stand-in store of the tests can be backed up and restored: it raises its era, and gives revisions and lease IDs out again.

Sixteen tests fail on this code, each for an assumption that the store only moves forward: a watch misses a change below its revision; a read of an older version renews the age of the keys, also at an instance that starts on the copy; a leaving upstream is ready again, and one that the copy lacks is removed at once; the fencing token goes back (2 after 52), the lease of another instance is renewed, and a second leader appears while the first may hold its lease; an absent key lifts the quarantine; pages of two eras are joined; and instances that hear of the store through the leader learn nothing.

--- a/tests/placement/leader_lease_test.cc
+++ b/tests/placement/leader_lease_test.cc
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include "tests/support/fake_async_store.h"
 #include "tests/support/fake_log.h"
@@ -29,6 +31,15 @@
   }
 };
 
+// Returns a new lease of the store.
+std::optional<uint64_t> GrantNow(Fixture* f) {
+  std::optional<uint64_t> lease;
+  f->store.GrantLease(LeaderLease::kTtl,
+                      [&](Result<uint64_t> granted) { lease = granted.value(); });
+  f->loop.Advance(Milliseconds(10));
+  return lease;
+}
+
 BOOST_AUTO_TEST_SUITE(leader_lease)
 
 BOOST_AUTO_TEST_CASE(one_of_two_instances_leads_and_the_other_knows_it) {
@@ -194,6 +205,77 @@
   BOOST_TEST(f.first.FencingToken() > token);
 }
 
+// Guards against orders that engines refuse because they have seen a higher token.
+BOOST_AUTO_TEST_CASE(fencing_token_is_higher_after_a_restore) {
+  Fixture f;
+  f.store.BackUp();
+  for (int i = 0; i < 50; ++i) {
+    f.store.Put("other", std::to_string(i));
+  }
+  f.first.Start();
+  f.Run(1000);
+  BOOST_REQUIRE(f.first.Held());
+  const uint64_t token = f.first.FencingToken();
+  f.first.Stop();
+  f.store.Restore();
+  f.second.Start();
+  f.Run(8000);
+  BOOST_REQUIRE(f.second.Held());
+  BOOST_TEST(f.second.FencingToken() > token);
+}
+
+// Guards against two leaders: the restored store gives the lease ID of the first one out again, so
+// that both renew it.
+BOOST_AUTO_TEST_CASE(lease_id_that_is_given_out_again_is_not_renewed) {
+  Fixture f;
+  f.store.BackUp();
+  f.first.Start();
+  f.Run(1000);
+  BOOST_REQUIRE(f.first.Held());
+  f.store.Restore();
+  f.store.Put("duty", "third 10.0.0.3:1", *GrantNow(&f));
+  f.Run(1500);
+  BOOST_TEST(!f.first.Held());
+}
+
+// Guards against a fleet without a leader until the lease of an earlier leader, which the copy
+// holds, expires.
+BOOST_AUTO_TEST_CASE(last_leader_leads_again_at_once_after_a_restore) {
+  Fixture f;
+  f.second.Start();
+  f.Run(1000);
+  f.store.BackUp();
+  f.second.Stop();
+  f.first.Start();
+  f.Run(3000);
+  BOOST_REQUIRE(f.first.Held());
+  f.store.Restore();
+  f.Run(2000);
+  BOOST_TEST(f.first.Held());
+  f.Run(5000);
+  BOOST_TEST(f.first.Held());
+}
+
+// Guards against a second leader while the last one, which has not heard of the restore, may still
+// count on its lease.
+BOOST_AUTO_TEST_CASE(others_wait_for_the_end_of_a_lease_of_the_era_before) {
+  Fixture f;
+  f.store.BackUp();
+  f.first.Start();
+  f.second.Start();
+  f.Run(3000);
+  LeaderLease* const other = f.first.Held() ? &f.second : &f.first;
+  LeaderLease* const leader = f.first.Held() ? &f.first : &f.second;
+  BOOST_REQUIRE(leader->Held());
+  leader->Stop();  // Frozen: it neither renews nor competes.
+  f.store.Restore();
+  other->PollNow();
+  f.Run(2000);
+  BOOST_TEST(!other->Held());
+  f.Run(4000);
+  BOOST_TEST(other->Held());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -180,6 +180,89 @@
   BOOST_TEST((f.Wait(result).error().code == ResultCode::kKvUnavailable));
 }
 
+// Returns a reply that states an era.
+ScriptedServer::Step ReplyInEra(int era, const json& body) {
+  const std::string text = body.dump();
+  ScriptedServer::Step step;
+  step.raw =
+      "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nStore-Era: " + std::to_string(era) +
+      "\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
+  return step;
+}
+
+// Runs a read in era 1, so that the client knows it.
+void ReadInFirstEra(Fixture* f) {
+  std::optional<Result<KvReading>> result;
+  f->store->Get("x", ReadMode::kNewest, [&](Result<KvReading> r) { result = std::move(r); });
+  f->Wait(result);
+  BOOST_REQUIRE(f->store->Era()->Current() == 1U);
+}
+
+json Item(const std::string& key) { return {{"key", key}, {"value", "eA=="}, {"revision", 5}}; }
+
+// Guards against a list that joins entries from before and after a restore.
+BOOST_AUTO_TEST_CASE(pages_of_two_eras_are_not_joined) {
+  Fixture f([](size_t index, const std::string&) {
+    return ReplyInEra(index == 0 ? 1 : 2,
+                      {{"items", json::array({Item("servers/i-" + std::to_string(index))})},
+                       {"hasMore", index == 0}});
+  });
+  std::optional<Result<KvListing>> result;
+  f.store->List("servers/", ReadMode::kNewest, [&](Result<KvListing> r) { result = std::move(r); });
+  BOOST_TEST(!f.Wait(result).has_value());
+}
+
+// Guards against a change that is missed below the revision of the watch.
+BOOST_AUTO_TEST_CASE(watch_that_is_answered_after_a_restore_has_lost_its_history) {
+  Fixture f([](size_t index, const std::string&) {
+    return index == 0 ? ReplyInEra(1, Item("x"))
+                      : ReplyInEra(2, {{"events", json::array()}, {"currentRev", 9}});
+  });
+  ReadInFirstEra(&f);
+  std::optional<Result<KvWatchReply>> result;
+  f.store->Watch("x", 5, Milliseconds(10), [&](Result<KvWatchReply> r) { result = std::move(r); });
+  const auto& reply = f.Wait(result);
+  BOOST_REQUIRE(!reply.has_value());
+  BOOST_TEST((reply.error().code == ResultCode::kKvHistoryGone));
+}
+
+// Guards against a lease that was given to another instance, and against a swap of a value that
+// only has the revision of the one that was read.
+BOOST_AUTO_TEST_CASE(renewal_and_swap_across_a_restore_prove_nothing) {
+  Fixture f([](size_t index, const std::string&) {
+    return index == 0   ? ReplyInEra(1, Item("x"))
+           : index == 1 ? ReplyInEra(2, {{"ttlMs", 3000}})
+           : index == 2 ? ReplyInEra(2, Item("x"))
+                        : ReplyInEra(3, {{"revision", 7}});
+  });
+  ReadInFirstEra(&f);
+  std::optional<Result<Milliseconds>> renewed;
+  f.store->RenewLease(4, [&](Result<Milliseconds> r) { renewed = std::move(r); });
+  BOOST_REQUIRE(!f.Wait(renewed).has_value());
+  BOOST_TEST((renewed->error().code == ResultCode::kLeaseLapsed));
+  std::optional<Result<KvReading>> reading;
+  f.store->Get("x", ReadMode::kNewest, [&](Result<KvReading> r) { reading = std::move(r); });
+  f.Wait(reading);
+  std::optional<Result<uint64_t>> swapped;
+  f.store->CompareAndSwap("x", 5, "y", 0, [&](Result<uint64_t> r) { swapped = std::move(r); });
+  BOOST_REQUIRE(!f.Wait(swapped).has_value());
+  BOOST_TEST((swapped->error().code == ResultCode::kKvOutcomeUnknown));
+}
+
+// Guards against a stale read from before the restore that undoes what a newest read returned.
+BOOST_AUTO_TEST_CASE(stale_read_from_before_a_restore_is_no_answer) {
+  Fixture f([](size_t index, const std::string&) {
+    return ReplyInEra(index == 0 ? 1 : index == 1 ? 2 : 1, Item("x"));
+  });
+  ReadInFirstEra(&f);
+  std::optional<Result<KvReading>> result;
+  f.store->Get("x", ReadMode::kNewest, [&](Result<KvReading> r) { result = std::move(r); });
+  BOOST_TEST(f.Wait(result).has_value());
+  result.reset();
+  f.store->Get("x", ReadMode::kBounded, [&](Result<KvReading> r) { result = std::move(r); });
+  BOOST_TEST(!f.Wait(result).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/sync/config_watcher_test.cc
+++ b/tests/sync/config_watcher_test.cc
@@ -175,6 +175,121 @@
   BOOST_TEST((*f.table.Age(f.loop.Now()) < Milliseconds(1600)));
 }
 
+// Guards against a change that is missed because the watch continues from a revision that the
+// restored store gives out again. No call fails: the restore falls into the wait of a watch.
+BOOST_AUTO_TEST_CASE(change_below_the_watched_revision_is_seen_after_a_restore) {
+  Fixture f;
+  f.store.Put("config", "3");
+  f.store.BackUp();
+  for (int i = 0; i < 10; ++i) {
+    f.store.Put("other", std::to_string(i));
+  }
+  f.watcher.Start();
+  f.loop.Advance(Milliseconds(50));
+  f.store.Restore();
+  f.store.Put("config", "5");
+  f.loop.Advance(ConfigWatcher::kWatchWait + Milliseconds(100));
+  BOOST_TEST(f.table.Version() == 5U);
+}
+
+// Guards against removed keys that stay accepted: the version that removed them may be among those
+// that the restored store lacks.
+BOOST_AUTO_TEST_CASE(older_version_of_a_restored_store_confirms_nothing) {
+  Fixture f;
+  f.store.Put("config", "9");
+  f.store.BackUp();
+  f.store.Put("config", "12");
+  f.watcher.Start();
+  f.loop.Advance(Milliseconds(50));
+  f.store.m_down = true;
+  f.loop.Advance(Milliseconds(2000));
+  f.store.m_down = false;
+  f.store.Restore();
+  f.loop.Advance(Milliseconds(1500));
+  BOOST_TEST(f.table.Version() == 12U);
+  BOOST_TEST((*f.table.Age(f.loop.Now()) > Milliseconds(3000)));
+  // The operator writes it again.
+  f.store.Put("config", "12");
+  f.loop.Advance(Milliseconds(300));
+  BOOST_TEST((*f.table.Age(f.loop.Now()) < Milliseconds(1000)));
+}
+
+// Guards against the same where the copy holds the active version, but a later one was lost that
+// this instance has not seen.
+BOOST_AUTO_TEST_CASE(active_version_of_a_restored_store_confirms_after_the_grace_period) {
+  Fixture f;
+  f.store.Put("config", "12");
+  f.store.BackUp();
+  f.watcher.Start();
+  f.loop.Advance(Milliseconds(50));
+  f.store.m_down = true;
+  f.loop.Advance(Milliseconds(2000));
+  f.store.m_down = false;
+  f.store.Restore();
+  f.loop.Advance(Milliseconds(1500));
+  BOOST_TEST((*f.table.Age(f.loop.Now()) > Milliseconds(3000)));
+  f.loop.Advance(Milliseconds(3000));
+  BOOST_TEST((*f.table.Age(f.loop.Now()) <= ConfigWatcher::kWatchWait + Milliseconds(200)));
+}
+
+// Guards against an instance that starts before the operator has written again, and accepts keys
+// that were removed.
+BOOST_AUTO_TEST_CASE(start_on_a_restored_store_confirms_after_the_grace_period) {
+  Fixture f;
+  f.store.Put("config", "9");
+  f.store.m_stated_era = StoreEra::kFirst + 1;
+  f.watcher.Start();
+  f.loop.Advance(Milliseconds(1000));
+  BOOST_TEST(f.table.Version() == 9U);
+  BOOST_TEST(!f.table.ConfirmedAt().has_value());
+  f.store.Put("config", "12");
+  f.loop.Advance(Milliseconds(300));
+  BOOST_TEST(f.table.Version() == 12U);
+  f.loop.Advance(Milliseconds(3500));
+  BOOST_TEST((*f.table.Age(f.loop.Now()) <= ConfigWatcher::kWatchWait + Milliseconds(200)));
+}
+
+// Guards against upstreams that are removed because the copy lacks them, although the store was
+// away for a moment only.
+BOOST_AUTO_TEST_CASE(upstreams_missing_after_a_short_restore_are_kept_for_the_grace_period) {
+  Fixture f;
+  f.store.Put("up/s1", "ready");
+  f.store.BackUp();
+  f.store.Put("up/s2", "ready");
+  f.lister.Start();
+  f.loop.Advance(Milliseconds(1000));
+  BOOST_TEST(f.fleet.All().size() == 2U);
+  f.store.Restore();
+  f.loop.Advance(Milliseconds(1500));
+  BOOST_TEST(f.fleet.All().size() == 2U);
+  f.loop.Advance(Milliseconds(3000));
+  BOOST_TEST(f.fleet.All().size() == 1U);
+}
+
+// Guards against requests to an upstream whose leaving was read before the restore.
+BOOST_AUTO_TEST_CASE(leaving_of_an_upstream_survives_a_restore) {
+  Fixture f;
+  f.store.Put("up/s1", "ready");
+  f.store.Put("up/s2", "ready");
+  f.store.BackUp();
+  f.lister.Start();
+  f.store.Put("up/s1", "draining");
+  f.store.Remove("up/s2");
+  f.loop.Advance(Milliseconds(100));
+  BOOST_TEST(f.fleet.Find("s1")->record.draining);
+  BOOST_TEST(f.fleet.Find("s2") == nullptr);
+  f.store.Restore();
+  for (int i = 0; i < 20; ++i) {
+    f.loop.Advance(Milliseconds(100));
+    BOOST_TEST(f.fleet.Find("s1")->record.draining);
+    BOOST_TEST(f.fleet.Find("s2") == nullptr);
+  }
+  // Entries of upstreams that do not write expire; these two go on to be written.
+  f.loop.Advance(Milliseconds(6000));
+  BOOST_TEST(!f.fleet.Find("s1")->record.draining);
+  BOOST_TEST(f.fleet.Find("s2") != nullptr);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/sync/quarantine_store_test.cc
+++ b/tests/sync/quarantine_store_test.cc
@@ -169,6 +169,24 @@
   BOOST_TEST(other->Blocks(f.loop.Now()));
 }
 
+// Guards against a restore that lifts every quarantine: the copy lacks the key, which only means
+// that an operator deleted it if this era had it.
+BOOST_AUTO_TEST_CASE(key_that_a_restored_store_lacks_is_written_again) {
+  Fixture f;
+  f.store.BackUp();
+  auto leader = f.Start(true);
+  f.Quarantine(leader.get());
+  BOOST_REQUIRE(f.store.Has("quarantine"));
+  f.store.Restore();
+  f.loop.Advance(QuarantineStore::kLiftCheckInterval * 2);
+  BOOST_TEST(leader->Blocks(f.loop.Now()));
+  BOOST_TEST(f.store.Has("quarantine"));
+  // Deleted in this era, it is lifted.
+  f.store.Remove("quarantine");
+  f.loop.Advance(QuarantineStore::kLiftCheckInterval * 2);
+  BOOST_TEST(!leader->Blocks(f.loop.Now()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/sync/sync_sessions_test.cc
+++ b/tests/sync/sync_sessions_test.cc
@@ -451,6 +451,32 @@
       !DecodeSyncMessage({reinterpret_cast<const uint8_t*>(foreign.data()), foreign.size()}));
 }
 
+// Guards against instances that continue in an era that has ended, because they hear of the store
+// through the leader alone, or a leader that hears of it last.
+BOOST_AUTO_TEST_CASE(instances_tell_one_another_the_era_of_the_store) {
+  FakeLoop loop;
+  FakeAsyncStore store{&loop};
+  FakeAsyncStore follower_store{&loop};
+  Instance leader{&loop, &store};
+  Instance follower{&loop, &follower_store};
+  LeaderSession leader_session{leader.state, "i1", 0.25};
+  FollowerSession follower_session{follower.state, "i2", 0.5};
+  FollowerState follower_state;
+  const auto exchange = [&] {
+    BOOST_REQUIRE(leader_session.UpdateUpstreams());
+    leader_session.OnReport(follower_session.BuildReport(), &follower_state);
+    follower_session.OnUpdate(leader_session.UpdateFor(&follower_state, true));
+  };
+  store.Era()->OnAnswer(0, 1, loop.Now());
+  follower_store.Era()->OnAnswer(0, 1, loop.Now());
+  store.Era()->OnAnswer(1, 2, loop.Now());
+  exchange();
+  BOOST_TEST(follower_store.Era()->Current() == 2U);
+  follower_store.Era()->OnAnswer(2, 3, loop.Now());
+  exchange();
+  BOOST_TEST(store.Era()->Current() == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
