Do not carry answers of the store across a restore

What callers would see: a change of the configuration that is never in force at an instance, a list of upstreams joined from two states, or a second holder of a lease.

Cause: revisions and lease IDs were taken for names that stay valid. After a restore they are given out again, so that a watch from an old revision, a swap against one, or a renewal by an old ID can succeed and mean something else; pages and stale reads can come from before the restore.

Change: each call states which era its arguments come from, and EraError decides in one place which answers stand: a watch has lost its history, the outcome of a swap is unknown, a renewed lease has lapsed, a list is read again, and an answer of an earlier era is none. Users of the store already handle these errors by reading again, which is why no other code changes.

--- a/include/azuregw/kv/store_era.h
+++ b/include/azuregw/kv/store_era.h
@@ -11,11 +11,13 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string_view>
 #include <utility>
 #include <vector>
 
 #include "azuregw/base/clock.h"
+#include "azuregw/base/result.h"
 
 namespace azuregw {
 
@@ -26,6 +28,20 @@
   kOutdated,  // The answer predates a restore that is known from a later answer.
 };
 
+// Calls to the store, by what their answers depend on.
+enum class StoreCall {
+  kRead,      // Nothing earlier.
+  kNextPage,  // The pages before.
+  kWatch,     // The revision from which it continues.
+  kSwap,      // The revision that it replaces, and its lease.
+  kGrant,     // Nothing earlier.
+  kRenewal    // The ID of the lease.
+};
+
+// Returns the error that takes the place of an answer with `verdict`; nullopt if the answer is
+// valid.
+std::optional<Error> EraError(StoreCall call, EraVerdict verdict);
+
 // Tracks the era of the store. One instance shares it between all calls to the store.
 class StoreEra {
  public:
--- a/src/kv/store_era.cc
+++ b/src/kv/store_era.cc
@@ -4,6 +4,30 @@
 
 namespace azuregw {
 
+std::optional<Error> EraError(StoreCall call, EraVerdict verdict) {
+  if (verdict == EraVerdict::kCurrent) {
+    return std::nullopt;
+  }
+  const bool outdated = verdict == EraVerdict::kOutdated;
+  const char* const reason =
+      outdated ? "the answer predates a restore of the store" : "the store was restored meanwhile";
+  switch (call) {
+    case StoreCall::kRead:
+      break;
+    case StoreCall::kNextPage:
+      return NotRun(ResultCode::kKvUnavailable, reason);
+    case StoreCall::kWatch:
+      return NotRun(ResultCode::kKvHistoryGone, reason);
+    case StoreCall::kSwap:
+      return Unknown(ResultCode::kKvOutcomeUnknown, reason);
+    case StoreCall::kGrant:
+      break;
+    case StoreCall::kRenewal:
+      return NotRun(ResultCode::kLeaseLapsed, reason);
+  }
+  return outdated ? std::optional<Error>(NotRun(ResultCode::kKvUnavailable, reason)) : std::nullopt;
+}
+
 EraVerdict StoreEra::OnAnswer(uint64_t sent, uint64_t era, TimePoint now) {
   if (era == 0) {
     return EraVerdict::kCurrent;
--- a/tests/support/fake_async_store.h
+++ b/tests/support/fake_async_store.h
@@ -66,7 +66,7 @@
   // ---- AsyncKeyValueStore ----
   StoreEra* Era() override { return &m_era; }
   void Get(const std::string& key, ReadMode /*mode*/, ReplyCallback<KvReading> done) override {
-    Answer<KvReading>(std::move(done), [this, key]() -> Result<KvReading> {
+    Answer<KvReading>(StoreCall::kRead, std::move(done), [this, key]() -> Result<KvReading> {
       KvReading reading;
       reading.store_revision = m_revision;
       const auto found = m_items.find(key);
@@ -77,7 +77,7 @@
     });
   }
   void List(const std::string& prefix, ReadMode /*mode*/, ReplyCallback<KvListing> done) override {
-    Answer<KvListing>(std::move(done), [this, prefix]() -> Result<KvListing> {
+    Answer<KvListing>(StoreCall::kRead, std::move(done), [this, prefix]() -> Result<KvListing> {
       KvListing listing;
       listing.store_revision = m_revision;
       for (const auto& [key, item] : m_items) {
@@ -93,16 +93,16 @@
     ++m_calls;
     WatchStep(prefix, after, m_loop->Now() + wait,
               [this, sent = m_era.Current(), done = std::move(done)](Result<KvWatchReply> reply) {
-                if (reply) {
-                  m_era.OnAnswer(sent, m_stated_era, m_loop->Now());
-                }
-                done(std::move(reply));
+                const EraVerdict verdict = reply ? m_era.OnAnswer(sent, m_stated_era, m_loop->Now())
+                                                 : EraVerdict::kCurrent;
+                const auto error = EraError(StoreCall::kWatch, verdict);
+                done(error ? Result<KvWatchReply>(*error) : std::move(reply));
               });
   }
   void CompareAndSwap(const std::string& key, uint64_t expected, const std::string& value,
                       uint64_t lease, ReplyCallback<uint64_t> done) override {
     const bool lost = m_lose_answers;
-    Answer<uint64_t>(std::move(done),
+    Answer<uint64_t>(StoreCall::kSwap, std::move(done),
                      [this, key, expected, value, lease, lost]() -> Result<uint64_t> {
                        const auto found = m_items.find(key);
                        const uint64_t present = found == m_items.end() ? 0 : found->second.revision;
@@ -117,28 +117,30 @@
                      });
   }
   void GrantLease(Milliseconds ttl, ReplyCallback<uint64_t> done) override {
-    Answer<uint64_t>(std::move(done), [this, ttl]() -> Result<uint64_t> {
+    Answer<uint64_t>(StoreCall::kGrant, std::move(done), [this, ttl]() -> Result<uint64_t> {
       m_leases[++m_last_lease] = m_loop->Now() + ttl;
       m_ttls[m_last_lease] = ttl;
       return m_last_lease;
     });
   }
   void RenewLease(uint64_t lease, ReplyCallback<Milliseconds> done) override {
-    Answer<Milliseconds>(std::move(done), [this, lease]() -> Result<Milliseconds> {
-      const auto found = m_leases.find(lease);
-      if (found == m_leases.end() || found->second <= m_loop->Now()) {
-        return NotRun(ResultCode::kLeaseLapsed, "ended");
-      }
-      found->second = m_loop->Now() + m_ttls[lease];
-      return m_ttls[lease];
-    });
+    Answer<Milliseconds>(StoreCall::kRenewal, std::move(done),
+                         [this, lease]() -> Result<Milliseconds> {
+                           const auto found = m_leases.find(lease);
+                           if (found == m_leases.end() || found->second <= m_loop->Now()) {
+                             return NotRun(ResultCode::kLeaseLapsed, "ended");
+                           }
+                           found->second = m_loop->Now() + m_ttls[lease];
+                           return m_ttls[lease];
+                         });
   }
   void EndLease(uint64_t lease, ReplyCallback<Milliseconds> done) override {
-    Answer<Milliseconds>(std::move(done), [this, lease]() -> Result<Milliseconds> {
-      m_leases.erase(lease);
-      Expire();
-      return Milliseconds(0);
-    });
+    Answer<Milliseconds>(StoreCall::kRenewal, std::move(done),
+                         [this, lease]() -> Result<Milliseconds> {
+                           m_leases.erase(lease);
+                           Expire();
+                           return Milliseconds(0);
+                         });
   }
 
  private:
@@ -157,9 +159,9 @@
   static constexpr Milliseconds kTimeLimit{1500};
 
   template <class T>
-  void Answer(ReplyCallback<T> done, std::function<Result<T>()> action) {
+  void Answer(StoreCall call, ReplyCallback<T> done, std::function<Result<T>()> action) {
     ++m_calls;
-    Later(m_down ? kTimeLimit : kLatency, [this, sent = m_era.Current(), down = m_down,
+    Later(m_down ? kTimeLimit : kLatency, [this, call, sent = m_era.Current(), down = m_down,
                                            done = std::move(done), action = std::move(action)] {
       if (down) {
         done(NotRun(ResultCode::kKvUnavailable, "down"));
