Confirm keys only by versions that a restored store is known to hold

What callers would see: a key that the operator has removed is accepted again, at an instance that reads the restored store before the operator has written again, or that starts then.

Cause: any newest read renewed the age up to which keys are accepted, also one that returned an older version than the active one. A version that was acknowledged and lost, and that removed a key, is not excluded by such a read.

Change: within two seconds of a restore, the platform's figure for what is written again, a read or a watch renews the age only if it shows that the operator has written since: by an event of a watch, or by the active version at another revision than before. A process that finds an era later than the first at its start waits likewise, unless the leader confirms the version. The active version never goes back.

--- a/include/azuregw/kv/store_era.h
+++ b/include/azuregw/kv/store_era.h
@@ -48,6 +48,10 @@
   // Era of a store that was never restored. Stores without eras state 0.
   static constexpr uint64_t kFirst = 1;
 
+  // Time after a restore within which operators and upstreams write again what the store lacks. The
+  // platform states it for the entries of upstreams.
+  static constexpr Milliseconds kRewriteGrace{2000};
+
   // `source` is "store" or "instance".
   using Listener = std::function<void(uint64_t previous, std::string_view source)>;
 
@@ -59,6 +63,9 @@
   uint64_t Current() const { return m_current; }
   // Returns the number of restores that this process has noticed.
   uint64_t Restores() const { return m_restores; }
+  // Returns the end of the time in which the store may lack what it had acknowledged before a
+  // restore. A process that finds a later era than kFirst at its start cannot tell when it began.
+  TimePoint UnsettledUntil() const { return m_unsettled_until; }
   // Adds a callback that runs when a restore is noticed, before the answer that shows it is used.
   void AddListener(Listener listener) { m_listeners.push_back(std::move(listener)); }
 
@@ -67,6 +74,7 @@
 
   uint64_t m_current = 0;
   uint64_t m_restores = 0;
+  TimePoint m_unsettled_until;
   std::vector<Listener> m_listeners;
 };
 
--- a/include/azuregw/sync/config_watcher.h
+++ b/include/azuregw/sync/config_watcher.h
@@ -31,6 +31,9 @@
   static constexpr Milliseconds kWatchWait{1500};
   // Watch duration on the leader; shorter because relaying adds to the age seen by followers.
   static constexpr Milliseconds kRelayingWatchWait{700};
+  // Watch duration while a restored store may lack versions; the first answer after this time
+  // confirms the configuration.
+  static constexpr Milliseconds kUnsettledWatchWait{250};
   // Delay before the next watch after a change; batches a burst of versions into few calls.
   static constexpr Milliseconds kPostChangeDelay{100};
   // Store calls are skipped while the last relayed confirmation is younger than this. API keys are
@@ -51,7 +54,7 @@
                 RouteTable* table, StoreRetry* retry, EventLog* log)
       : m_loop(loop), m_store(store), m_codec(codec), m_table(table), m_retry(retry), m_log(log) {}
 
-  void Start() { Read(); }
+  void Start();
   // Sets the callback that runs after each new configuration version.
   void SetListener(std::function<void()> listener) { m_listener = std::move(listener); }
   // Sets whether this instance relays the configuration to followers. A relaying instance always
@@ -87,11 +90,16 @@
   void Watch();
   // Reads the version that the leader announced, unless a call is in progress.
   void ReadAnnounced();
-  // Decodes the document and adopts it if it is newer. Returns whether it could be decoded.
-  bool Apply(std::string_view document, std::string_view source);
+  // Decodes the document and adopts it if it is newer. Returns its version, or nullopt if it could
+  // not be decoded.
+  std::optional<uint64_t> Apply(std::string_view document, std::string_view source);
   void OnFailure(const Error& error);
-  // Records that the store confirmed the configuration at `sent`.
-  void OnStoreReply(TimePoint sent);
+  // Handles the entry that the store returned. `written`: as an event of a watch.
+  // Returns whether it could be decoded.
+  bool OnStoreEntry(const KvEntry& entry, bool written);
+  // Records that the store answered, and that its state at `when` confirms the active version.
+  void OnStoreReply(TimePoint when);
+  void OnStoreRestored();
   void Schedule(Milliseconds delay, void (ConfigWatcher::*step)());
 
   EventLoop* const m_loop;
@@ -103,6 +111,11 @@
   std::function<void()> m_listener;
   uint64_t m_revision = 0;  // Store revision up to which changes are known.
   bool m_must_read = true;  // A change after m_revision may have been missed.
+  // Last entry that the store returned.
+  uint64_t m_stored_version = 0;
+  uint64_t m_stored_revision = 0;
+  // The operator has written the active version, or a later one, since the last restore.
+  bool m_rewritten = false;
   bool m_store_reachable = true;
   bool m_calling = false;            // A call to the store is in progress.
   uint64_t m_newest_relayed = 0;     // Newest version that the leader announced.
--- a/src/kv/store_era.cc
+++ b/src/kv/store_era.cc
@@ -39,11 +39,14 @@
   return sent != 0 && era > sent ? EraVerdict::kRestored : EraVerdict::kCurrent;
 }
 
-void StoreEra::Raise(uint64_t era, std::string_view source, TimePoint /*now*/) {
+void StoreEra::Raise(uint64_t era, std::string_view source, TimePoint now) {
   if (era <= m_current) {
     return;
   }
   const uint64_t previous = std::exchange(m_current, era);
+  if (era > kFirst) {
+    m_unsettled_until = now + kRewriteGrace;
+  }
   if (previous == 0) {
     return;  // The first era that this process hears of.
   }
--- a/src/sync/config_watcher.cc
+++ b/src/sync/config_watcher.cc
@@ -9,6 +9,16 @@
 
 namespace azuregw {
 
+void ConfigWatcher::Start() {
+  m_store->Era()->AddListener([this](uint64_t, std::string_view) { OnStoreRestored(); });
+  Read();
+}
+
+void ConfigWatcher::OnStoreRestored() {
+  m_must_read = true;  // Revisions are given out again.
+  m_rewritten = false;
+}
+
 void ConfigWatcher::Schedule(Milliseconds delay, void (ConfigWatcher::*step)()) {
   m_timer = m_loop->After(delay, [this, step] { (this->*step)(); });
 }
@@ -42,12 +52,12 @@
   }
 }
 
-bool ConfigWatcher::Apply(std::string_view document, std::string_view source) {
+std::optional<uint64_t> ConfigWatcher::Apply(std::string_view document, std::string_view source) {
   Result<RoutingConfig> config = m_codec->DecodeConfig(document);
   if (!config) {
     m_log->Write("config_unreadable", {{"source", source}, {"reason", config.error().message}},
                  true);
-    return false;
+    return std::nullopt;
   }
   auto shared = std::make_shared<const RoutingConfig>(std::move(config.value()));
   const uint64_t previous = m_table->Version();
@@ -75,6 +85,20 @@
                   {"store_era", m_store->Era()->Current()}},
                  true);
   }
+  return shared->version;
+}
+
+bool ConfigWatcher::OnStoreEntry(const KvEntry& entry, bool written) {
+  const uint64_t active = m_table->Version();
+  const std::optional<uint64_t> version = Apply(entry.value, "store");
+  if (!version) {
+    return false;
+  }
+  // A version that has another revision than before the restore was written since.
+  const bool moved = *version == m_stored_version && entry.revision != m_stored_revision;
+  m_rewritten |= *version >= active && (written || moved);
+  m_stored_version = *version;
+  m_stored_revision = entry.revision;
   return true;
 }
 
@@ -94,8 +118,12 @@
   }
 }
 
-void ConfigWatcher::OnStoreReply(TimePoint sent) {
-  m_table->ConfirmNewest(sent);
+void ConfigWatcher::OnStoreReply(TimePoint when) {
+  // A restored store may lack a version that it had acknowledged and that removed keys.
+  const bool complete = m_rewritten && m_stored_version >= m_table->Version();
+  if (complete || when >= m_store->Era()->UnsettledUntil()) {
+    m_table->ConfirmNewest(when);
+  }
   if (!m_store_reachable) {
     m_store_reachable = true;
     m_log->Write("store_regained", {{"for", "config"}}, true);
@@ -142,7 +170,7 @@
       Schedule(m_relaying ? m_retry->NextDelay() : kAbsentRetryDelay, &ConfigWatcher::RunNextStep);
       return;
     }
-    if (Apply(reading.value().entry->value, "store")) {
+    if (OnStoreEntry(*reading.value().entry, false)) {
       OnStoreReply(sent);
     }
     m_must_read = false;
@@ -152,7 +180,10 @@
 
 void ConfigWatcher::Watch() {
   const TimePoint sent = m_loop->Now();
-  const Milliseconds wait = m_relaying ? kRelayingWatchWait : kWatchWait;
+  Milliseconds wait = m_relaying ? kRelayingWatchWait : kWatchWait;
+  if (!m_rewritten && sent < m_store->Era()->UnsettledUntil()) {
+    wait = std::min(wait, kUnsettledWatchWait);
+  }
   m_calling = true;
   m_store->Watch(m_codec->ConfigKey(), m_revision, wait,
                  [this, sent, wait](Result<KvWatchReply> reply) {
@@ -174,7 +205,7 @@
                    bool changed = false;
                    for (const KvEntry& entry : reply.value().entries) {
                      if (entry.key == m_codec->ConfigKey() && entry.revision > 0) {
-                       readable = Apply(entry.value, "store");
+                       readable = OnStoreEntry(entry, true);
                        changed = true;
                      }
                    }
