Keep what is known of upstreams when the store comes back older

What callers would see: requests to an upstream that leaves or is gone (DRAIN), at an address that another service may have taken, and refusals for want of upstreams that run.

Cause: the list was taken as it is. In a copy an upstream that was leaving is ready, one that had gone is listed, a process that was replaced is there under its older start time, and one that registered later is missing. Missing ones were retained only after 1.8 s without the store.

Evidence: config_watcher/leaving_of_an_upstream_survives_a_restore and upstreams_missing_after_a_short_restore_are_kept_for_the_grace_period failed before.

Change: after a restore, and until entries that nobody writes have expired (three heartbeats of the settings, and the two seconds of the platform), the fleet keeps what it knows of a process if that is newer: by start time, order sequence, and leaving, which is final for a process. Removed processes are remembered for a minute. Relayed lists pass the same rule, since the leader may know less than a follower. A process that runs and writes is listed longer than that, and counts again.

--- a/include/azuregw/fleet/fleet.h
+++ b/include/azuregw/fleet/fleet.h
@@ -119,6 +119,11 @@
   // Maximum number of doublings of the suspicion time.
   static constexpr int kMaxSuspicionDoublings = 2;
 
+  // Time for which a removed upstream is remembered, and number of those. A copy of the store is
+  // some seconds old.
+  static constexpr Milliseconds kRemovedTtl{60000};
+  static constexpr size_t kMaxRemoved = 4096;
+
   // Lifetime of a stated rate limit. Upstreams with requests state it again all the time.
   static constexpr Milliseconds kRateLimitTtl{30000};
 
@@ -130,6 +135,15 @@
   std::vector<FleetChange> Update(std::vector<UpstreamRecord> records, bool after_outage,
                                   TimePoint now);
 
+  // Handles a restore of the store from a backup. Entries that are missing are retained for
+  // kRelistGrace. For `entry_ttl`, after which the entries of upstreams that no longer write have
+  // expired, lists that contradict what is known of an upstream's process do not count: a process
+  // that was leaving or gone stays so.
+  void OnStoreRestored(Milliseconds entry_ttl, TimePoint now);
+  // Returns whether a list may contain entries that OnStoreRestored() excludes; only Update() ends
+  // this.
+  bool Reconciling() const { return m_reconciling; }
+
   // Returns whether entries that disappeared in an outage are retained; only Update() removes them.
   bool HasRetainedUpstreams() const { return !m_retained_until.empty(); }
 
@@ -207,12 +221,27 @@
   const std::map<std::string, Upstream>& All() const { return m_upstreams; }
 
  private:
+  // Process of an upstream that was removed.
+  struct RemovedProcess {
+    int64_t started_ms = 0;
+    TimePoint removed_at;
+  };
+
+  // Replaces what `record` says of a process by what is known of it, if that is newer. Returns
+  // false if the process is gone.
+  bool Reconcile(UpstreamRecord* record) const;
+  void RememberRemoved(const UpstreamRecord& record, TimePoint now);
+
   // Returns the requests per second that this instance may send to the upstream; nullopt: any.
   std::optional<double> StartRate(const Upstream& upstream, TimePoint now) const;
 
   std::map<std::string, Upstream> m_upstreams;
   // Retention deadline of each entry that disappeared in an outage, by ID.
   std::map<std::string, TimePoint> m_retained_until;
+  std::map<std::string, RemovedProcess> m_removed;  // By ID.
+  TimePoint m_relist_until;     // Missing entries are retained, because the store was restored.
+  TimePoint m_reconcile_until;  // Lists may contain entries of the copy.
+  bool m_reconciling = false;   // The last list was applied before m_reconcile_until.
   LinkLoad m_links;
   FleetPosition m_position;
   std::function<void()> m_on_health_report = [] {};
--- a/include/azuregw/forward/gateway_settings.h
+++ b/include/azuregw/forward/gateway_settings.h
@@ -28,6 +28,8 @@
   Milliseconds key_removal_bound{0};
   // Time after the store marks an upstream as leaving from which it must get no new requests.
   Milliseconds leaving_bound{2000};
+  // Interval at which upstreams write their entries in the store.
+  Milliseconds heartbeat{1200};
   // Retry budget of each service, shared by all instances: in any window of `retry_budget_window`,
   // retries may reach `retry_budget_ratio` of the requests plus `retry_budget_slack`.
   double retry_budget_ratio = 0.1;
--- a/include/azuregw/sync/upstream_lister.h
+++ b/include/azuregw/sync/upstream_lister.h
@@ -37,6 +37,8 @@
   // Store calls are skipped until the relayed list is this close to the leaving bound. A slow store
   // takes 400 ms to answer.
   static constexpr Milliseconds kRelayMargin{500};
+  // Heartbeats without which the store drops an entry.
+  static constexpr int kMissedHeartbeats = 3;
   // Interval of the freshness check while store calls are skipped.
   static constexpr Milliseconds kRelayCheckInterval{100};
   // If the list last matched the store longer ago than this, upstream entries may have expired
@@ -48,9 +50,11 @@
                  Fleet* fleet, StoreRetry* retry, EventLog* log)
       : m_loop(loop), m_store(store), m_codec(codec), m_fleet(fleet), m_retry(retry), m_log(log) {}
 
-  void Start() { Read(); }
+  void Start();
   // Sets the time within which a leaving upstream must be known.
   void SetLeavingBound(Milliseconds bound) { m_leaving_bound = bound; }
+  // Sets the interval at which upstreams write their entries.
+  void SetHeartbeat(Milliseconds interval) { m_heartbeat = interval; }
   // Sets the callback that runs after each change of the fleet.
   void SetListener(std::function<void()> listener) { m_listener = std::move(listener); }
   // Sets whether this instance relays the list to followers. A relaying instance always calls the
@@ -82,6 +86,7 @@
   std::function<void()> m_listener;
   std::optional<TimePoint> m_confirmed;
   Milliseconds m_leaving_bound{2000};
+  Milliseconds m_heartbeat{1200};
   bool m_store_failing = false;
   bool m_relaying = false;
   std::optional<TimePoint> m_relay_confirmed;  // When the relayed list last matched the store.
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -17,11 +17,56 @@
 
 }  // namespace
 
+void Fleet::OnStoreRestored(Milliseconds entry_ttl, TimePoint now) {
+  m_relist_until = now + kRelistGrace;
+  m_reconcile_until = now + entry_ttl;
+  m_reconciling = true;
+}
+
+bool Fleet::Reconcile(UpstreamRecord* record) const {
+  const auto removed = m_removed.find(record->id);
+  if (removed != m_removed.end() && record->started_ms <= removed->second.started_ms) {
+    return false;
+  }
+  const auto known = m_upstreams.find(record->id);
+  if (known == m_upstreams.end()) {
+    return true;
+  }
+  const UpstreamRecord& old = known->second.record;
+  if (record->started_ms < old.started_ms) {
+    *record = old;
+  } else if (record->started_ms == old.started_ms) {
+    record->draining |= old.draining;
+    const bool older_layers = record->order_sequence < old.order_sequence ||
+                              (record->order_sequence == old.order_sequence && !record->layers);
+    if (older_layers) {
+      record->order_sequence = old.order_sequence;
+      record->layers = old.layers;
+    }
+  }
+  return true;
+}
+
+void Fleet::RememberRemoved(const UpstreamRecord& record, TimePoint now) {
+  for (auto removed = m_removed.begin(); removed != m_removed.end();) {
+    const bool expired = now - removed->second.removed_at > kRemovedTtl;
+    removed = expired ? m_removed.erase(removed) : std::next(removed);
+  }
+  if (m_removed.size() < kMaxRemoved) {
+    m_removed[record.id] = {record.started_ms, now};
+  }
+}
+
 std::vector<FleetChange> Fleet::Update(std::vector<UpstreamRecord> records, bool after_outage,
                                        TimePoint now) {
   std::vector<FleetChange> changes;
   std::map<std::string, Upstream> next;
+  m_reconciling = now < m_reconcile_until;
+  after_outage |= now < m_relist_until;
   for (UpstreamRecord& record : records) {
+    if (m_reconciling && !Reconcile(&record)) {
+      continue;
+    }
     Upstream upstream;
     const auto found = m_upstreams.find(record.id);
     if (found == m_upstreams.end()) {
@@ -66,6 +111,7 @@
       continue;
     }
     m_retained_until.erase(id);
+    RememberRemoved(upstream.record, now);
     changes.push_back({FleetChange::Kind::kRemoved, id, ""});
   }
   m_upstreams = std::move(next);
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -150,6 +150,7 @@
     });
     m_fleet.SetHealthReportListener([this] { m_exchange->OnHealthReport(); });
     m_quarantine.SetListener([this] { m_exchange->OnHealthReport(); });
+    m_lister.SetHeartbeat(m_context.settings.heartbeat);
     m_lister.SetLeavingBound(m_context.settings.leaving_bound);
     m_leader_lease.SetCpuShares(m_context.settings.cpu_share, std::nullopt);
     m_config_watcher.Start();
--- a/src/sync/upstream_lister.cc
+++ b/src/sync/upstream_lister.cc
@@ -47,6 +47,13 @@
   return std::chrono::duration_cast<Milliseconds>(m_loop->Now() - *m_confirmed);
 }
 
+void UpstreamLister::Start() {
+  m_store->Era()->AddListener([this](uint64_t, std::string_view) {
+    m_fleet->OnStoreRestored(kMissedHeartbeats * m_heartbeat + Fleet::kRelistGrace, m_loop->Now());
+  });
+  Read();
+}
+
 void UpstreamLister::OnRelayedList(const RelayedUpstreams& list, bool changed,
                                    TimePoint confirmed) {
   m_relay_pending |= changed;
@@ -55,7 +62,7 @@
   }
   m_confirmed = confirmed;
   m_relay_confirmed = confirmed;
-  if (m_relay_pending || m_fleet->HasRetainedUpstreams()) {
+  if (m_relay_pending || m_fleet->HasRetainedUpstreams() || m_fleet->Reconciling()) {
     m_relay_pending = false;
     Adopt(list.Records(), false, "instance");
   }
--- a/tests/fleet/fleet_test.cc
+++ b/tests/fleet/fleet_test.cc
@@ -48,6 +48,31 @@
   BOOST_TEST(fleet.Find("s1") != nullptr);
 }
 
+// Guards against an earlier process that counts as a restart, and layers that are given up again.
+BOOST_AUTO_TEST_CASE(older_entries_of_a_restored_store_do_not_replace_newer_ones) {
+  Fleet fleet;
+  UpstreamRecord restarted = EngineRecordOf("e1", "a", "fast", LayerRange{0, 8});
+  restarted.started_ms = 20;
+  UpstreamRecord loaded = EngineRecordOf("e2", "a", "fast", LayerRange{8, 16});
+  loaded.order_sequence = 2;
+  fleet.Update({restarted, loaded}, false, kNow);
+  fleet.OnStoreRestored(Milliseconds(5000), kNow);
+  UpstreamRecord before = restarted;
+  before.started_ms = 10;
+  before.layers.reset();
+  UpstreamRecord empty = loaded;
+  empty.order_sequence = 1;
+  empty.layers = LayerRange{0, 4};
+  BOOST_TEST(fleet.Update({before, empty}, false, kNow + Milliseconds(500)).empty());
+  BOOST_TEST((fleet.Find("e1")->record == restarted));
+  BOOST_TEST((fleet.Find("e2")->record == loaded));
+  // A newer process counts at once.
+  UpstreamRecord next = restarted;
+  next.started_ms = 30;
+  fleet.Update({next, loaded}, false, kNow + Milliseconds(1000));
+  BOOST_TEST(fleet.Find("e1")->record.started_ms == 30);
+}
+
 // Guards against a restarted upstream that stays suspect.
 BOOST_AUTO_TEST_CASE(restart_with_the_same_id_clears_suspicion) {
   Fleet fleet;
--- a/tests/sync/config_watcher_test.cc
+++ b/tests/sync/config_watcher_test.cc
@@ -273,9 +273,11 @@
   f.store.Put("up/s2", "ready");
   f.store.BackUp();
   f.lister.Start();
+  f.loop.Advance(Milliseconds(100));
+  BOOST_TEST(f.fleet.All().size() == 2U);
   f.store.Put("up/s1", "draining");
   f.store.Remove("up/s2");
-  f.loop.Advance(Milliseconds(100));
+  f.loop.Advance(Milliseconds(1000));
   BOOST_TEST(f.fleet.Find("s1")->record.draining);
   BOOST_TEST(f.fleet.Find("s2") == nullptr);
   f.store.Restore();
