Hold the leader lease per era of the store

What callers would see: layers that nobody orders, because engines refuse the token of the new leader (412) and it steps down again; or two leaders whose orders undo one another; and a fleet without a leader for seconds after a restore.

Cause: the fencing token was the revision of the lease key, and the lease was known by its ID. A restored store gives both out again, and holds the key of whoever led when the copy was made.

Change: each era has a key of its own, so that nothing in a copy needs to be told apart from the present; the token orders by era first. When a restore is noticed, calls in progress are dropped, the leader gives its lease up and takes it again at once; the others wait for as long as a leader of the era before may count on its lease. The key of a store that was never restored stays the same, so that instances of older builds compete for it as before.

--- a/include/azuregw/kv/store_era.h
+++ b/include/azuregw/kv/store_era.h
@@ -65,7 +65,11 @@
   uint64_t Restores() const { return m_restores; }
   // Returns the end of the time in which the store may lack what it had acknowledged before a
   // restore. A process that finds a later era than kFirst at its start cannot tell when it began.
-  TimePoint UnsettledUntil() const { return m_unsettled_until; }
+  TimePoint UnsettledUntil() const {
+    return m_noticed_at ? *m_noticed_at + kRewriteGrace : TimePoint();
+  }
+  // Returns the time at which this process noticed the current era, or nullopt if it is the first.
+  std::optional<TimePoint> NoticedAt() const { return m_noticed_at; }
   // Adds a callback that runs when a restore is noticed, before the answer that shows it is used.
   void AddListener(Listener listener) { m_listeners.push_back(std::move(listener)); }
 
@@ -74,7 +78,7 @@
 
   uint64_t m_current = 0;
   uint64_t m_restores = 0;
-  TimePoint m_unsettled_until;
+  std::optional<TimePoint> m_noticed_at;
   std::vector<Listener> m_listeners;
 };
 
--- a/include/azuregw/placement/leader_lease.h
+++ b/include/azuregw/placement/leader_lease.h
@@ -1,10 +1,11 @@
 // Leader lease: a key in the store, bound to a lease, that at most one instance holds at a time.
 //
-// The leader's fencing token is the revision of the key that it created, so that each later leader
-// has a higher token. An instance that finds the key with its own name and address, left behind by
-// its previous process, replaces it without waiting for the lease to expire. A leader that cannot
-// renew the lease in time steps down before the store expires it, also after the machine was
-// suspended.
+// The leader's fencing token orders by the era of the store, then by the revision of the key that
+// the leader created, so that each later leader has a higher token. Each era has a key of its own:
+// keys, revisions and lease IDs of a copy say nothing about the present. An instance that finds the
+// key with its own name and address, left behind by its previous process, replaces it without
+// waiting for the lease to expire. A leader that cannot renew the lease in time steps down before
+// the store expires it, also after the machine was suspended.
 
 #ifndef AZUREGW_PLACEMENT_LEADER_LEASE_H_
 #define AZUREGW_PLACEMENT_LEADER_LEASE_H_
@@ -22,6 +23,10 @@
 
 namespace azuregw {
 
+// Returns the fencing token of a key with `revision` in `era`. It fits into 53 bits, so that JSON
+// numbers hold it, for 2^40 revisions and 2^13 restores.
+uint64_t MakeFencingToken(uint64_t era, uint64_t revision);
+
 // Competes for the leader lease, renews it and tells who the leader is. Runs on the event loop.
 class LeaderLease {
  public:
@@ -79,6 +84,13 @@
   const std::string& LeaderValue() const { return m_leader_value; }
 
  private:
+  // Returns the key of the current era.
+  std::string Key() const;
+  // Gives the lease up, and takes it again at once if this instance was the last leader.
+  void OnStoreRestored();
+  // Returns the time before which a free lease must not be acquired, because a leader of the era
+  // before may still count on its own.
+  TimePoint EarliestAcquisition() const;
   // Reads the key and acquires the lease if it is free or was left behind by the previous process.
   void Poll();
   // Confirms with a linearizable read that the key can be taken, then requests a lease.
@@ -87,8 +99,8 @@
   void RequestLease(uint64_t replaced_revision);
   // Writes the key under the lease; reads it back if the outcome is unknown.
   void CreateKey(uint64_t lease_id, uint64_t replaced_revision, TimePoint requested_at);
-  // Starts the leadership. The lease is valid from `requested_at`.
-  void BecomeLeader(uint64_t lease_id, uint64_t token, TimePoint requested_at);
+  // Starts the leadership. The lease is valid from `requested_at`; `revision` is that of the key.
+  void BecomeLeader(uint64_t lease_id, uint64_t revision, TimePoint requested_at);
   // Renews the lease, or steps down if it is too late.
   void Renew();
   // Ends the leadership, logs `reason` and polls again later.
@@ -100,9 +112,10 @@
   AsyncKeyValueStore* const m_store;
   Random* const m_random;
   EventLog* const m_log;
-  const std::string m_key;
+  const std::string m_key;  // Of the first era; see Key().
   const std::string m_own_value;
   bool m_stopped = false;
+  uint64_t m_generation = 0;         // Increases with each restore; earlier calls are ignored.
   uint64_t m_lease_id = 0;           // ID of the lease in the store.
   uint64_t m_fencing_token = 0;      // 0 if the lease is not held.
   TimePoint m_valid_until;           // Time at which this instance steps down unless it renews.
--- a/src/kv/store_era.cc
+++ b/src/kv/store_era.cc
@@ -45,7 +45,7 @@
   }
   const uint64_t previous = std::exchange(m_current, era);
   if (era > kFirst) {
-    m_unsettled_until = now + kRewriteGrace;
+    m_noticed_at = now;
   }
   if (previous == 0) {
     return;  // The first era that this process hears of.
--- a/src/placement/leader_lease.cc
+++ b/src/placement/leader_lease.cc
@@ -3,15 +3,55 @@
 #include "azuregw/placement/leader_lease.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace azuregw {
 
+namespace {
+
+constexpr int kRevisionBits = 40;
+constexpr uint64_t kMaxTokenEra = (uint64_t{1} << (53 - kRevisionBits)) - 1;
+
+}  // namespace
+
+uint64_t MakeFencingToken(uint64_t era, uint64_t revision) {
+  const uint64_t restores = era > StoreEra::kFirst ? era - StoreEra::kFirst : 0;
+  return (std::min(restores, kMaxTokenEra) << kRevisionBits) + revision;
+}
+
+std::string LeaderLease::Key() const {
+  const uint64_t era = m_store->Era()->Current();
+  return era > StoreEra::kFirst ? m_key + "/era-" + std::to_string(era) : m_key;
+}
+
+void LeaderLease::OnStoreRestored() {
+  if (m_stopped) {
+    return;
+  }
+  ++m_generation;
+  if (m_fencing_token != 0) {
+    LoseLease("the store was restored");
+    m_leader_value = m_own_value;
+  }
+  // The last leader cannot compete with itself; the others wait until its lease would have ended.
+  Schedule(m_last_known_leader ? Milliseconds(0) : kLeaderPollInterval,
+           m_last_known_leader ? &LeaderLease::Acquire : &LeaderLease::Poll);
+}
+
+TimePoint LeaderLease::EarliestAcquisition() const {
+  const std::optional<TimePoint> noticed = m_store->Era()->NoticedAt();
+  return noticed && !m_last_known_leader ? *noticed + kTtl : TimePoint();
+}
+
 void LeaderLease::Schedule(Milliseconds delay, void (LeaderLease::*step)()) {
   m_timer = m_loop->After(delay, [this, step] { (this->*step)(); });
 }
 
-void LeaderLease::Start() { Poll(); }
+void LeaderLease::Start() {
+  m_store->Era()->AddListener([this](uint64_t, std::string_view) { OnStoreRestored(); });
+  Poll();
+}
 
 void LeaderLease::SetCpuShares(double own, std::optional<double> fleet_max) {
   const double missing_share =
@@ -64,61 +104,78 @@
     Schedule(kLeaderPollInterval, &LeaderLease::Poll);
     return;
   }
-  m_store->Get(m_key, ReadMode::kBounded, [this](Result<KvReading> reading) {
-    if (m_stopped) {
-      return;
-    }
-    if (!reading) {
-      Schedule(kLeaderPollInterval, &LeaderLease::Poll);
-      return;
-    }
-    if (reading.value().entry && reading.value().entry->value == m_own_value &&
-        !m_last_known_leader) {
-      // The previous process has exited, because this one owns its address.
-      Acquire();
-      return;
-    }
-    if (reading.value().entry) {
-      const std::string& leader = reading.value().entry->value;
-      m_last_known_leader = m_last_known_leader && leader == m_own_value;
-      if (leader != m_leader_value) {
-        m_leader_value = leader;
-        m_log->Write("duty_holder",
-                     {{"duty", m_key},
-                      {"holder", leader},
-                      {"fencing_token", reading.value().entry->revision}},
-                     true);
-      }
-      Schedule(kLeaderPollInterval, &LeaderLease::Poll);
-      return;
-    }
-    m_leader_value.clear();
-    const auto jitter = static_cast<int64_t>(m_random->Unit() * kMaxAcquireJitter.count());
-    Schedule(m_acquire_delay + Milliseconds(jitter), &LeaderLease::Acquire);
-  });
+  const std::string key = Key();
+  m_store->Get(
+      key, ReadMode::kBounded, [this, key, generation = m_generation](Result<KvReading> reading) {
+        if (m_stopped || generation != m_generation) {
+          return;
+        }
+        if (key != Key()) {
+          // The first answer told the era.
+          Schedule(Milliseconds(0), &LeaderLease::Poll);
+          return;
+        }
+        if (!reading) {
+          Schedule(kLeaderPollInterval, &LeaderLease::Poll);
+          return;
+        }
+        if (reading.value().entry && reading.value().entry->value == m_own_value &&
+            !m_last_known_leader) {
+          // The previous process has exited, because this one owns its address.
+          Acquire();
+          return;
+        }
+        if (reading.value().entry) {
+          const std::string& leader = reading.value().entry->value;
+          m_last_known_leader = m_last_known_leader && leader == m_own_value;
+          if (leader != m_leader_value) {
+            m_leader_value = leader;
+            m_log->Write("duty_holder",
+                         {{"duty", m_key},
+                          {"holder", leader},
+                          {"fencing_token", MakeFencingToken(m_store->Era()->Current(),
+                                                             reading.value().entry->revision)}},
+                         true);
+          }
+          Schedule(kLeaderPollInterval, &LeaderLease::Poll);
+          return;
+        }
+        const auto wait =
+            std::chrono::duration_cast<Milliseconds>(EarliestAcquisition() - m_loop->Now());
+        if (wait.count() > 0) {
+          Schedule(std::min(wait, kLeaderPollInterval), &LeaderLease::Poll);
+          return;
+        }
+        m_leader_value.clear();
+        const auto jitter = static_cast<int64_t>(m_random->Unit() * kMaxAcquireJitter.count());
+        Schedule(m_acquire_delay + Milliseconds(jitter), &LeaderLease::Acquire);
+      });
 }
 
 void LeaderLease::Acquire() {
   // A linearizable read first: most instances find the lease taken and save two writes.
-  m_store->Get(m_key, ReadMode::kNewest, [this](Result<KvReading> reading) {
-    if (m_stopped) {
-      return;
-    }
-    const bool left_behind = reading && reading.value().entry &&
-                             reading.value().entry->value == m_own_value && !m_last_known_leader;
-    if (!reading || (reading.value().entry && !left_behind)) {
-      Schedule(kLeaderPollInterval, &LeaderLease::Poll);
-      return;
-    }
-    RequestLease(left_behind ? reading.value().entry->revision : 0);
-  });
+  m_store->Get(Key(), ReadMode::kNewest,
+               [this, generation = m_generation](Result<KvReading> reading) {
+                 if (m_stopped || generation != m_generation) {
+                   return;
+                 }
+                 const bool left_behind = reading && reading.value().entry &&
+                                          reading.value().entry->value == m_own_value &&
+                                          !m_last_known_leader;
+                 if (!reading || (reading.value().entry && !left_behind)) {
+                   Schedule(kLeaderPollInterval, &LeaderLease::Poll);
+                   return;
+                 }
+                 RequestLease(left_behind ? reading.value().entry->revision : 0);
+               });
 }
 
 void LeaderLease::RequestLease(uint64_t replaced_revision) {
   // The store counts the TTL from the arrival of the call, so counting from its sending is safe.
   const TimePoint requested_at = m_loop->Now();
-  m_store->GrantLease(kTtl, [this, requested_at, replaced_revision](Result<uint64_t> lease) {
-    if (m_stopped) {
+  m_store->GrantLease(kTtl, [this, requested_at, replaced_revision,
+                             generation = m_generation](Result<uint64_t> lease) {
+    if (m_stopped || generation != m_generation) {
       return;
     }
     if (!lease) {
@@ -131,9 +188,10 @@
 
 void LeaderLease::CreateKey(uint64_t lease, uint64_t replaced_revision, TimePoint requested_at) {
   m_store->CompareAndSwap(
-      m_key, replaced_revision, m_own_value, lease,
-      [this, lease, replaced_revision, requested_at](Result<uint64_t> revision) {
-        if (m_stopped) {
+      Key(), replaced_revision, m_own_value, lease,
+      [this, lease, replaced_revision, requested_at,
+       generation = m_generation](Result<uint64_t> revision) {
+        if (m_stopped || generation != m_generation) {
           return;
         }
         if (revision) {
@@ -144,9 +202,10 @@
           Schedule(kLeaderPollInterval, &LeaderLease::Poll);
           return;
         }
-        m_store->Get(m_key, ReadMode::kNewest,
-                     [this, lease, replaced_revision, requested_at](Result<KvReading> reading) {
-                       if (m_stopped) {
+        m_store->Get(Key(), ReadMode::kNewest,
+                     [this, lease, replaced_revision, requested_at,
+                      generation = m_generation](Result<KvReading> reading) {
+                       if (m_stopped || generation != m_generation) {
                          return;
                        }
                        if (reading && reading.value().entry &&
@@ -160,7 +219,8 @@
       });
 }
 
-void LeaderLease::BecomeLeader(uint64_t lease, uint64_t token, TimePoint requested_at) {
+void LeaderLease::BecomeLeader(uint64_t lease, uint64_t revision, TimePoint requested_at) {
+  const uint64_t token = MakeFencingToken(m_store->Era()->Current(), revision);
   m_lease_id = lease;
   m_fencing_token = token;
   m_valid_until = requested_at + kTtl - kExpiryMargin;
@@ -181,18 +241,19 @@
     return;
   }
   const TimePoint sent_at = m_loop->Now();
-  m_store->RenewLease(m_lease_id, [this, sent_at](Result<Milliseconds> renewed) {
-    if (m_stopped || m_fencing_token == 0) {
-      return;
-    }
-    if (renewed) {
-      m_valid_until = sent_at + kTtl - kExpiryMargin;
-    } else if (renewed.error().code == ResultCode::kLeaseLapsed) {
-      LoseLease("the lease has ended");
-      return;
-    }
-    Schedule(renewed ? kRenewInterval : kRenewInterval / 3, &LeaderLease::Renew);
-  });
+  m_store->RenewLease(
+      m_lease_id, [this, sent_at, generation = m_generation](Result<Milliseconds> renewed) {
+        if (m_stopped || m_fencing_token == 0 || generation != m_generation) {
+          return;
+        }
+        if (renewed) {
+          m_valid_until = sent_at + kTtl - kExpiryMargin;
+        } else if (renewed.error().code == ResultCode::kLeaseLapsed) {
+          LoseLease("the lease has ended");
+          return;
+        }
+        Schedule(renewed ? kRenewInterval : kRenewInterval / 3, &LeaderLease::Renew);
+      });
 }
 
 }  // namespace azuregw
