Do not take a key that a restored store lacks for a lifted quarantine

What callers would see: prompts that crash engines are sent again to all engines after a restore.

Cause: an absent key was taken for one that an operator had deleted. A restored store lacks the key if the copy is older than the quarantine. The check also read with bounded staleness, so that a key that was just created could look deleted.

Evidence: quarantine_store/key_that_a_restored_store_lacks_is_written_again failed before and passes.

Change: a restore ends what is known of the key. The leader reads it again in the new era, adds what is missing, and only then looks for a deletion, with a newest read. A deletion in the new era still lifts the quarantine.

--- a/include/azuregw/sync/quarantine_store.h
+++ b/include/azuregw/sync/quarantine_store.h
@@ -2,7 +2,8 @@
 // instances.
 //
 // The leader writes them, and each instance reads them once at its start. An operator lifts the
-// quarantine by deleting the key.
+// quarantine by deleting the key. After a restore of the store, the leader reads the key again and
+// adds what is missing; only a key that was seen in the present era can have been deleted.
 
 #ifndef AZUREGW_SYNC_QUARANTINE_STORE_H_
 #define AZUREGW_SYNC_QUARANTINE_STORE_H_
@@ -49,6 +50,7 @@
 
  private:
   void Tick();
+  void OnStoreRestored();
   // Reads the key. `lift`: if it is absent, an operator has deleted it.
   void Read(ReadMode mode, bool lift);
   void Write();
@@ -65,9 +67,10 @@
   const std::string m_key;
   bool m_started = false;
   bool m_leading = false;
-  bool m_calling = false;   // A call to the store is in progress.
-  bool m_loaded = false;    // m_revision and m_stored were read in this term.
-  uint64_t m_revision = 0;  // Revision of the key; 0: it does not exist.
+  bool m_calling = false;     // A call to the store is in progress.
+  bool m_loaded = false;      // m_revision and m_stored were read in this term and era.
+  uint64_t m_generation = 0;  // Increases with each restore; earlier calls are ignored.
+  uint64_t m_revision = 0;    // Revision of the key; 0: it does not exist.
   std::set<std::pair<PartId, ProcessId>> m_stored;  // Evidence in the store.
   uint64_t m_seen_version = 0;  // Version of the quarantine that was last compared with m_stored.
   TimePoint m_last_read;
--- a/src/sync/quarantine_store.cc
+++ b/src/sync/quarantine_store.cc
@@ -31,10 +31,18 @@
 }  // namespace
 
 void QuarantineStore::Start() {
+  m_store->Era()->AddListener([this](uint64_t, std::string_view) { OnStoreRestored(); });
   Read(ReadMode::kBounded, false);
   Tick();
 }
 
+void QuarantineStore::OnStoreRestored() {
+  ++m_generation;
+  m_loaded = false;
+  m_stored.clear();
+  m_seen_version = 0;
+}
+
 void QuarantineStore::SetLeading(bool leading) {
   m_loaded = m_loaded && leading;
   m_leading = leading;
@@ -58,52 +66,55 @@
     }
   }
   if (!m_stored.empty() && now - m_last_read > kLiftCheckInterval) {
-    Read(ReadMode::kBounded, true);
+    // A bounded read may be older than the last write of the key.
+    Read(ReadMode::kNewest, true);
   }
 }
 
 void QuarantineStore::Read(ReadMode mode, bool lift) {
   m_calling = true;
   m_last_read = m_loop->Now();
-  m_store->Get(m_key, mode, [this, mode, lift](Result<KvReading> reading) {
-    m_calling = false;
-    m_started = true;
-    if (!reading) {
-      return;  // The next tick of a leader reads again.
-    }
-    const auto& entry = reading.value().entry;
-    if (lift && !entry) {
-      m_log->Write("prompt_quarantine_lifted", {{"key", m_key}}, true);
-      m_quarantine->LiftAll(m_loop->Now());
-    }
-    if (mode == ReadMode::kNewest || lift) {
-      m_revision = entry ? entry->revision : 0;
-      m_stored.clear();
-      m_loaded = m_leading;
-    }
-    if (entry) {
-      const PromptEvidence evidence = Decode(entry->value);
-      m_stored = Ids(evidence);
-      m_quarantine->Merge(evidence, m_loop->Now());
-    }
-  });
+  m_store->Get(m_key, mode,
+               [this, mode, lift, generation = m_generation](Result<KvReading> reading) {
+                 m_calling = false;
+                 m_started = true;
+                 if (!reading || generation != m_generation) {
+                   return;  // The next tick of a leader reads again.
+                 }
+                 const auto& entry = reading.value().entry;
+                 if (lift && !entry) {
+                   m_log->Write("prompt_quarantine_lifted", {{"key", m_key}}, true);
+                   m_quarantine->LiftAll(m_loop->Now());
+                 }
+                 if (mode == ReadMode::kNewest || lift) {
+                   m_revision = entry ? entry->revision : 0;
+                   m_stored.clear();
+                   m_loaded = m_leading;
+                 }
+                 if (entry) {
+                   const PromptEvidence evidence = Decode(entry->value);
+                   m_stored = Ids(evidence);
+                   m_quarantine->Merge(evidence, m_loop->Now());
+                 }
+               });
 }
 
 void QuarantineStore::Write() {
   m_calling = true;
   const PromptEvidence evidence = m_quarantine->EvidenceToKeep(m_loop->Now());
-  m_store->CompareAndSwap(m_key, m_revision, Encode(evidence), 0,
-                          [this, ids = Ids(evidence)](Result<uint64_t> revision) {
-                            m_calling = false;
-                            if (revision) {
-                              m_revision = revision.value();
-                              m_stored = ids;
-                              return;
-                            }
-                            // Another leader may have written, or this write may still be done.
-                            m_loaded = false;
-                            m_seen_version = 0;
-                          });
+  m_store->CompareAndSwap(
+      m_key, m_revision, Encode(evidence), 0,
+      [this, ids = Ids(evidence), generation = m_generation](Result<uint64_t> revision) {
+        m_calling = false;
+        if (revision && generation == m_generation) {
+          m_revision = revision.value();
+          m_stored = ids;
+          return;
+        }
+        // Another leader may have written, or this write may still be done.
+        m_loaded = false;
+        m_seen_version = 0;
+      });
 }
 
 std::string QuarantineStore::Encode(const PromptEvidence& evidence) const {
