Tell one another the era of the store

What callers would see: an instance that hears of the store only through the leader, or a leader whose calls are held up, goes on as if nothing had happened after a restore: it drops upstreams that the relayed list lacks, and keeps a lease that is gone.

Cause: only the instance that calls the store can see a restore, and most instances make no calls.

Change: reports and updates carry the highest era that their sender has seen, eight bytes each; it is applied before the list of the same message.

--- a/include/azuregw/kv/store_era.h
+++ b/include/azuregw/kv/store_era.h
@@ -59,6 +59,9 @@
   // answer states none.
   EraVerdict OnAnswer(uint64_t sent, uint64_t era, TimePoint now);
 
+  // Records the era that another instance has seen; 0 if it knows none.
+  void OnInstance(uint64_t era, TimePoint now) { Raise(era, "instance", now); }
+
   // Returns the highest era seen; 0 before the first.
   uint64_t Current() const { return m_current; }
   // Returns the number of restores that this process has noticed.
--- a/include/azuregw/sync/state_exchange.h
+++ b/include/azuregw/sync/state_exchange.h
@@ -15,6 +15,7 @@
 #include "azuregw/fleet/fleet.h"
 #include "azuregw/fleet/fleet_load_table.h"
 #include "azuregw/forward/gateway_settings.h"
+#include "azuregw/kv/store_era.h"
 #include "azuregw/logging/event_log.h"
 #include "azuregw/placement/leader_lease.h"
 #include "azuregw/sync/config_watcher.h"
@@ -49,6 +50,7 @@
   ConfigWatcher* config = nullptr;
   UpstreamLister* lister = nullptr;
   PromptQuarantine* quarantine = nullptr;
+  StoreEra* store_era = nullptr;
   EventLog* log = nullptr;
 };
 
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -136,9 +136,9 @@
       // The instance serves requests even without metrics.
       m_log->Write("metrics_unavailable", {{"reason", metrics.error().message}}, true);
     }
-    auto exchange = MakeStateExchange(
-        &m_io, m_loop.get(), m_context.settings,
-        {&m_leader_lease, &m_fleet, &m_config_watcher, &m_lister, &m_quarantine, m_log.get()});
+    auto exchange = MakeStateExchange(&m_io, m_loop.get(), m_context.settings,
+                                      {&m_leader_lease, &m_fleet, &m_config_watcher, &m_lister,
+                                       &m_quarantine, m_platform.store->Era(), m_log.get()});
     if (!exchange) {
       return ReportStartFailure(exchange.error());
     }
--- a/src/sync/state_exchange.cc
+++ b/src/sync/state_exchange.cc
@@ -53,8 +53,12 @@
         m_cpu_share(settings.cpu_share),
         m_document_bytes_per_s(kDocumentLinkShare * settings.link_mbps * 1e6 / 8),
         m_dependencies(dependencies),
-        m_state{loop, dependencies.fleet, dependencies.config, dependencies.lister,
-                dependencies.quarantine},
+        m_state{loop,
+                dependencies.fleet,
+                dependencies.config,
+                dependencies.lister,
+                dependencies.quarantine,
+                dependencies.store_era},
         m_acceptor(*io) {}
 
   Result<void> Listen() { return OpenAcceptor(m_address, "peer address", &m_acceptor); }
--- a/src/sync/sync_frames.cc
+++ b/src/sync/sync_frames.cc
@@ -158,6 +158,7 @@
   table.config_wanted = report.config_wanted;
   PackLoad(report.load, &table);
   PackEvidence(report.prompt_evidence, &table);
+  table.store_era = report.store_era;
   wire::SyncBodyUnion body;
   body.Set(std::move(table));
   return body;
@@ -186,6 +187,7 @@
     table.list_removed = update.list.removed;
   }
   PackEvidence(update.prompt_evidence, &table);
+  table.store_era = update.store_era;
   wire::SyncBodyUnion body;
   body.Set(std::move(table));
   return body;
@@ -221,6 +223,7 @@
     update.list.removed = table.list_removed;
   }
   update.prompt_evidence = UnpackEvidence(table);
+  update.store_era = table.store_era;
   return update;
 }
 
@@ -242,9 +245,9 @@
   }
   const std::unique_ptr<wire::SyncFrameT> frame(wire::GetSyncFrame(payload.data())->UnPack());
   if (const wire::InstanceReportT* const table = frame->body.AsInstanceReport()) {
-    return InstanceReport{table->instance,      table->stamp_us,       table->urgent,
-                          table->cpu_share,     UnpackLoad(*table),    table->config_version,
-                          table->config_wanted, UnpackEvidence(*table)};
+    return InstanceReport{table->instance,      table->stamp_us,        table->urgent,
+                          table->cpu_share,     UnpackLoad(*table),     table->config_version,
+                          table->config_wanted, UnpackEvidence(*table), table->store_era};
   }
   if (const wire::HolderNewsT* const table = frame->body.AsHolderNews()) {
     return UnpackUpdate(*table);
--- a/src/sync/sync_frames.h
+++ b/src/sync/sync_frames.h
@@ -28,6 +28,7 @@
   uint64_t config_version = 0;     // Version of the follower's configuration; 0 if it has none.
   bool config_wanted = false;      // The follower cannot read the newest version from the store.
   PromptEvidence prompt_evidence;  // New evidence; all of it in the first report to a leader.
+  uint64_t store_era = 0;          // Highest era of the store that the sender has seen; 0: none.
 };
 
 // The routing configuration as relayed by the leader.
@@ -53,6 +54,7 @@
   std::optional<int64_t> list_age_us;
   UpstreamDelta list;
   PromptEvidence prompt_evidence;  // Evidence that the receiver does not have.
+  uint64_t store_era = 0;          // As in InstanceReport.
 };
 
 // Total load of all instances, sent by the leader to every follower.
--- a/src/sync/sync_sessions.cc
+++ b/src/sync/sync_sessions.cc
@@ -46,6 +46,7 @@
   m_max_cpu_share = std::max(m_max_cpu_share, report.cpu_share);
   m_load_table.SetReport(follower->number, report.load, now);
   m_state.quarantine->Merge(report.prompt_evidence, now);
+  m_state.store_era->OnInstance(report.store_era, now);
 }
 
 bool LeaderSession::UpdateUpstreams() {
@@ -58,6 +59,7 @@
   update.lease_held = lease_held;
   update.receiver = follower->number;
   update.echo_us = follower->stamp_us;
+  update.store_era = m_state.store_era->Current();
   if (const auto config = m_state.config->Confirmed()) {
     update.config = RelayedConfig{config->version, "",
                                   ToMicroseconds(follower->report_arrived - config->confirmed_at)};
@@ -108,6 +110,7 @@
   report.load = BuildLoadReport(*m_state.fleet, m_list.Numbers(), m_number, now);
   report.config_version = m_state.config->Version();
   report.config_wanted = m_state.config->NeedsDocument();
+  report.store_era = m_state.store_era->Current();
   // A new leader gets the evidence of all instances, in case the last one has exited.
   report.prompt_evidence = m_sent_own_evidence
                                ? m_state.quarantine->OwnEvidenceSince(*m_sent_own_evidence, now)
@@ -124,6 +127,8 @@
 void FollowerSession::OnUpdate(const StateUpdate& update) {
   m_leader = update.leader;
   m_number = update.receiver;
+  // Before the list, which is read in the light of a restore.
+  m_state.store_era->OnInstance(update.store_era, m_state.loop->Now());
   m_state.quarantine->Merge(update.prompt_evidence, m_state.loop->Now());
   if (update.echo_us == 0) {
     return;
--- a/src/sync/sync_sessions.h
+++ b/src/sync/sync_sessions.h
@@ -18,6 +18,7 @@
 #include "azuregw/admission/prompt_quarantine.h"
 #include "azuregw/base/event_loop.h"
 #include "azuregw/fleet/fleet_load_table.h"
+#include "azuregw/kv/store_era.h"
 #include "azuregw/sync/config_watcher.h"
 #include "azuregw/sync/upstream_lister.h"
 #include "azuregw/sync/upstream_relay.h"
@@ -32,6 +33,7 @@
   ConfigWatcher* config = nullptr;
   UpstreamLister* lister = nullptr;
   PromptQuarantine* quarantine = nullptr;
+  StoreEra* store_era = nullptr;
 };
 
 // Returns the interval of reports and totals for a leader with this CPU share, in cores.
--- a/tests/sync/sync_sessions_test.cc
+++ b/tests/sync/sync_sessions_test.cc
@@ -21,7 +21,7 @@
   Instance(FakeLoop* loop, FakeAsyncStore* store)
       : watcher(loop, store, &codec, &table, &retry, &log),
         lister(loop, store, &codec, &fleet, &retry, &log),
-        state{loop, &fleet, &watcher, &lister, &quarantine} {}
+        state{loop, &fleet, &watcher, &lister, &quarantine, store->Era()} {}
 
   FakeLog log;
   TextCodec codec;
