Log which requests run at a plain upstream that exits

After the connection of a plain request ended without an answer, the upstream is queried like an engine; it exited if its host refuses the connection. engine_exited_under_request names the upstream's process and a digest of service, key, method, target and body, which is the same when the caller sends the request again. Nothing acts on it yet.

--- a/include/azuregw/admission/prompt_quarantine.h
+++ b/include/azuregw/admission/prompt_quarantine.h
@@ -34,6 +34,10 @@
 // Identifies a prompt part of one service: a truncated SHA-256, because callers choose the names.
 using PartId = uint64_t;
 PartId MakePartId(std::string_view service, std::string_view part);
+// Identifies a whole request, whichever instance receives it: its service, the key of its caller,
+// method, target and body.
+PartId MakeRequestPartId(std::string_view service, std::string_view key, std::string_view method,
+                         std::string_view target, std::string_view body);
 // Returns the ID as 16 hexadecimal digits, for logs.
 std::string PartName(PartId part);
 
--- a/include/azuregw/forward/engine_exit_checker.h
+++ b/include/azuregw/forward/engine_exit_checker.h
@@ -1,4 +1,4 @@
-// Finds out whether an engine exited after the connection to it had ended.
+// Finds out whether an upstream exited after the connection to it had ended.
 
 #ifndef AZUREGW_FORWARD_ENGINE_EXIT_CHECKER_H_
 #define AZUREGW_FORWARD_ENGINE_EXIT_CHECKER_H_
@@ -17,7 +17,7 @@
 
 namespace azuregw {
 
-// Queries an engine once for all requests whose connections to it ended together. Runs on one event
+// Queries an upstream once for all requests whose connections to it ended together. Runs on one event
 // loop; not thread-safe.
 class EngineExitChecker {
  public:
--- a/include/azuregw/net/http_client.h
+++ b/include/azuregw/net/http_client.h
@@ -36,6 +36,8 @@
   // Whether the server answered with bytes that are no valid answer.
   bool protocol_error = false;
   std::string reason;
+  // Whether the host answered that nothing listens at the address.
+  bool refused = false;
 };
 
 // Receives the events of one call, each from the event loop and never from within Start().
--- a/include/azuregw/placement/engine_control.h
+++ b/include/azuregw/placement/engine_control.h
@@ -62,7 +62,8 @@
   static constexpr Milliseconds kReportTimeLimit{600};
 
   virtual ~EngineControl() = default;
-  // Queries the engine's state. Errors: kUpstreamUnreachable, kUpstreamTimeout, kUpstreamProtocol.
+  // Queries the engine's state. Errors: kUpstreamUnreachable (nothing listens at the address),
+  // kUpstreamTimeout, kUpstreamProtocol (it answers, but not with a report).
   virtual void QueryReport(const std::string& address, Milliseconds time_limit,
                            std::function<void(Result<EngineReport>)> done) = 0;
   // Orders an engine to load layers.
--- a/src/admission/prompt_quarantine.cc
+++ b/src/admission/prompt_quarantine.cc
@@ -39,6 +39,16 @@
 
 PartId MakePartId(std::string_view service, std::string_view part) { return Digest(service, part); }
 
+PartId MakeRequestPartId(std::string_view service, std::string_view key, std::string_view method,
+                         std::string_view target, std::string_view body) {
+  std::string text;
+  for (const std::string_view field : {key, method, target, body}) {
+    text += std::to_string(field.size()) + ':';
+    text += field;
+  }
+  return Digest(service, text);
+}
+
 std::string PartName(PartId part) {
   char text[17];
   std::snprintf(text, sizeof(text), "%016llx", static_cast<unsigned long long>(part));
--- a/src/forward/engine_exit_checker.cc
+++ b/src/forward/engine_exit_checker.cc
@@ -1,4 +1,4 @@
-// Queries of engines whose connections ended.
+// Queries of upstreams whose connections ended.
 
 #include "azuregw/forward/engine_exit_checker.h"
 
@@ -42,9 +42,13 @@
 
 void EngineExitChecker::OnReport(const std::string& upstream, int64_t started_ms,
                                  const azuregw::Result<EngineReport>& report) {
-  // Another start time belongs to the next process at the same address.
-  const bool exited =
-      !report || (report.value().started_ms > 0 && report.value().started_ms != started_ms);
+  const Upstream* const entry = m_fleet->Find(upstream);
+  const bool engine = entry != nullptr && !entry->record.accelerator.empty();
+  // Another start time belongs to the next process at the same address. Plain upstreams may answer
+  // late or without a report.
+  const bool exited = report
+                          ? report.value().started_ms > 0 && report.value().started_ms != started_ms
+                          : engine || report.error().code == ResultCode::kUpstreamUnreachable;
   m_results[{upstream, started_ms}] = {exited, m_loop->Now()};
   if (exited) {
     m_log->Write("engine_exited",
--- a/src/forward/exchange_base.cc
+++ b/src/forward/exchange_base.cc
@@ -153,6 +153,13 @@
   });
 }
 
+PartId ExchangeBase::RequestPart() const {
+  const auto method = m_request.message.method_string();
+  const auto target = m_request.message.target();
+  return MakeRequestPartId(m_service, m_caller.key, {method.data(), method.size()},
+                           {target.data(), target.size()}, m_request.message.body());
+}
+
 void ExchangeBase::RecordRateLimit(const std::string& upstream, const UpstreamResponse& answer,
                                    TimePoint sent_at) {
   if (m_context->fleet->OnRateLimit(upstream, answer.rate_limit, sent_at, Now())) {
--- a/src/forward/exchange_base.h
+++ b/src/forward/exchange_base.h
@@ -32,6 +32,8 @@
   Milliseconds TimeLeft() const;
   // Starts the timer that calls OnDeadline().
   void StartDeadline();
+  // Returns the identity of the request, which is the same when its caller sends it again.
+  PartId RequestPart() const;
   // Records the rate limit in an answer of `upstream` to a request that was sent at `sent_at`.
   void RecordRateLimit(const std::string& upstream, const UpstreamResponse& answer,
                        TimePoint sent_at);
--- a/src/forward/plain_exchange.cc
+++ b/src/forward/plain_exchange.cc
@@ -131,6 +131,7 @@
 
   void OnAttemptFailed(Attempt* attempt, const HttpFailure& failure) {
     if (failure.maybe_sent) {
+      LogExit(attempt->m_id);
       OnAttemptBroken(attempt, failure.reason);
       return;
     }
@@ -217,6 +218,21 @@
     StartNextAttempt();
   }
 
+  // Logs it if the upstream exited.
+  void LogExit(const std::string& upstream) {
+    m_context->exits->Check(upstream, [context = m_context, id = m_caller.id, upstream,
+                                       request = RequestPart()](bool exited, int64_t started_ms) {
+      if (exited) {
+        context->log->Write("engine_exited_under_request",
+                            {{"request_id", id},
+                             {"upstream", upstream},
+                             {"started_ms", started_ms},
+                             {"request", PartName(request)}},
+                            true);
+      }
+    });
+  }
+
   bool TakeRetry() { return m_context->budget->Take(m_service, Now()); }
 
   bool HasRunningAttempt() const {
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -94,6 +94,7 @@
   std::array<char, kBodyBufferBytes> m_body;
   bool m_writing = false;  // Bytes of the request may have left.
   bool m_written = false;  // The whole request was written.
+  bool m_refused = false;  // The host refused the connection.
   bool m_foreign = false;  // The answer being read belongs to another request.
   int m_foreign_answers = 0;
   int m_interim_responses = 0;
@@ -192,6 +193,7 @@
     }
     self->m_timer.cancel();
     if (error) {
+      self->m_refused = error == asio::error::connection_refused;
       self->Fail("connect: " + error.message(), false);
       return;
     }
@@ -313,7 +315,7 @@
   m_timer.cancel();
   error_code ignored;  // The connection is given up either way.
   m_connection->socket.close(ignored);
-  handler->OnFailed(HttpFailure{m_writing, protocol_error, reason});
+  handler->OnFailed(HttpFailure{m_writing, protocol_error, reason, m_refused});
 }
 
 }  // namespace
--- a/tests/support/fake_gateway.h
+++ b/tests/support/fake_gateway.h
@@ -176,7 +176,9 @@
   void QueryReport(const std::string& /*address*/, Milliseconds /*limit*/,
                    std::function<void(Result<EngineReport>)> done) override {
     ++report_queries;
-    if (silent) {
+    if (refuses) {
+      done(Unknown(ResultCode::kUpstreamUnreachable, "refused"));
+    } else if (silent) {
       done(Unknown(ResultCode::kUpstreamTimeout, "silent"));
     } else {
       done(report);
@@ -192,7 +194,8 @@
   }
 
   int report_queries = 0;
-  bool silent = false;  // Report queries time out.
+  bool silent = false;   // Report queries time out.
+  bool refuses = false;  // Connections for report queries are refused.
   EngineReport report;
   std::vector<std::vector<PathHop>> reroutes;
   OrderOutcome reroute_outcome = OrderOutcome::kStarted;
