Tell followers at which revision the leader read the configuration

Cause: a follower got the active version from the leader and did not know at which revision the store held it, so it could not see that the operator had written it again, and waited for the end of the grace period. That period was the two seconds that the platform states for entries of upstreams; an operator's tool writes at once.

Change: the leader's updates carry the revision, and the grace period for the configuration is one second. The test fails without the revision.

--- a/include/azuregw/kv/store_era.h
+++ b/include/azuregw/kv/store_era.h
@@ -2,7 +2,7 @@
 //
 // The store counts its restores and states the count, its era, in every answer. After a restore the
 // store lacks its latest writes and leases, and gives their revisions and lease IDs out again.
-// Operators and upstreams write what is missing again within kRewriteGrace.
+// Operators write what is missing again within kRewriteGrace, upstreams with their next heartbeats.
 //
 // Decision module: no I/O, single-threaded.
 
@@ -48,9 +48,9 @@
   // Era of a store that was never restored. Stores without eras state 0.
   static constexpr uint64_t kFirst = 1;
 
-  // Time after a restore within which operators and upstreams write again what the store lacks. The
-  // platform states it for the entries of upstreams.
-  static constexpr Milliseconds kRewriteGrace{2000};
+  // Time after a restore within which operators write again what the store lacks. Their tools do so
+  // as soon as the store answers; this leaves time for a poll.
+  static constexpr Milliseconds kRewriteGrace{1000};
 
   // `source` is "store" or "instance".
   using Listener = std::function<void(uint64_t previous, std::string_view source)>;
--- a/include/azuregw/sync/config_watcher.h
+++ b/include/azuregw/sync/config_watcher.h
@@ -61,9 +61,10 @@
   // calls the store and uses kRelayingWatchWait.
   void SetRelaying(bool relaying) { m_relaying = relaying; }
   // Handles a configuration relayed by the leader: `version` was the newest one at `confirmed`, in
-  // local time. `document` is empty when this instance already has the version, or should read it
-  // from the store.
-  void OnRelayedConfig(uint64_t version, std::string_view document, TimePoint confirmed);
+  // local time, and the entry has `revision` in the store, or 0 if that is unknown. `document` is
+  // empty when this instance already has the version, or should read it from the store.
+  void OnRelayedConfig(uint64_t version, std::string_view document, uint64_t revision,
+                       TimePoint confirmed);
 
   // Handles a message of the leader that the store holds no configuration yet.
   void OnRelayedAbsence() { m_absence_relayed = m_loop->Now(); }
@@ -79,6 +80,7 @@
     uint64_t version;
     const std::string* document;  // Stored form; valid until the next change.
     TimePoint confirmed_at;       // Time at which the version was last known to be the newest.
+    uint64_t revision;            // Of its entry in the store; 0 if unknown.
   };
   // Returns the active configuration, or nullopt while there is none.
   std::optional<Confirmation> Confirmed() const;
@@ -111,7 +113,7 @@
   std::function<void()> m_listener;
   uint64_t m_revision = 0;  // Store revision up to which changes are known.
   bool m_must_read = true;  // A change after m_revision may have been missed.
-  // Last entry that the store returned.
+  // Last entry that the store returned here or to the leader.
   uint64_t m_stored_version = 0;
   uint64_t m_stored_revision = 0;
   // The operator has written the active version, or a later one, since the last restore.
--- a/src/sync/config_watcher.cc
+++ b/src/sync/config_watcher.cc
@@ -28,10 +28,11 @@
   if (!confirmed || m_document.empty()) {
     return std::nullopt;
   }
-  return Confirmation{m_table->Version(), &m_document, *confirmed};
+  const uint64_t revision = m_stored_version == m_table->Version() ? m_stored_revision : 0;
+  return Confirmation{m_table->Version(), &m_document, *confirmed, revision};
 }
 
-void ConfigWatcher::OnRelayedConfig(uint64_t version, std::string_view document,
+void ConfigWatcher::OnRelayedConfig(uint64_t version, std::string_view document, uint64_t revision,
                                     TimePoint confirmed) {
   if (!document.empty() && !Apply(document, "instance")) {
     return;
@@ -47,6 +48,10 @@
   // The active version differs if it was read from the store after `confirmed`, or if the relayed
   // document could not be decoded.
   if (version == m_table->Version()) {
+    if (revision > 0) {
+      m_stored_version = version;
+      m_stored_revision = revision;
+    }
     m_table->ConfirmNewest(confirmed);
     m_relay_confirmed = std::max(m_relay_confirmed.value_or(confirmed), confirmed);
   }
--- a/src/sync/sync_frames.cc
+++ b/src/sync/sync_frames.cc
@@ -175,6 +175,7 @@
     table.config_version = update.config->version;
     table.config_age_us = update.config->age_us;
     table.config = update.config->document;
+    table.config_revision = update.config->revision;
   }
   table.config_absent = update.config_absent;
   if (update.list_age_us) {
@@ -211,7 +212,8 @@
   update.receiver = table.reporter;
   update.echo_us = table.echo_us;
   if (table.config_known) {
-    update.config = RelayedConfig{table.config_version, table.config, table.config_age_us};
+    update.config = RelayedConfig{table.config_version, table.config, table.config_age_us,
+                                  table.config_revision};
   }
   update.config_absent = table.config_absent;
   if (table.list_known) {
--- a/src/sync/sync_frames.h
+++ b/src/sync/sync_frames.h
@@ -38,6 +38,7 @@
   std::string document;
   // Age when the report arrived whose `stamp_us` StateUpdate::echo_us returns.
   int64_t age_us = 0;
+  uint64_t revision = 0;  // Of the entry in the store; 0 if unknown.
 };
 
 // Configuration and upstream list that the leader sends to one follower.
--- a/src/sync/sync_sessions.cc
+++ b/src/sync/sync_sessions.cc
@@ -62,7 +62,8 @@
   update.store_era = m_state.store_era->Current();
   if (const auto config = m_state.config->Confirmed()) {
     update.config = RelayedConfig{config->version, "",
-                                  ToMicroseconds(follower->report_arrived - config->confirmed_at)};
+                                  ToMicroseconds(follower->report_arrived - config->confirmed_at),
+                                  config->revision};
     const auto size = static_cast<int64_t>(config->document->size());
     const bool push = config->document->size() <= kMaxPushedDocumentBytes;
     if (follower->config_version != config->version &&
@@ -142,7 +143,7 @@
   };
   if (update.config) {
     m_state.config->OnRelayedConfig(update.config->version, update.config->document,
-                                    to_local_time(update.config->age_us));
+                                    update.config->revision, to_local_time(update.config->age_us));
   }
   if (update.config_absent) {
     m_state.config->OnRelayedAbsence();
--- a/tests/sync/sync_sessions_test.cc
+++ b/tests/sync/sync_sessions_test.cc
@@ -477,6 +477,33 @@
   BOOST_TEST(store.Era()->Current() == 3U);
 }
 
+// Guards against keys that a follower rejects after a restore although the operator has written the
+// active version again: it knows from the leader which revision the version had before.
+BOOST_AUTO_TEST_CASE(follower_sees_that_its_version_was_written_again) {
+  Fixture f;
+  f.store.BackUp();
+  for (int i = 0; i < 5; ++i) {
+    f.store.Put("other", std::to_string(i));
+  }
+  f.follower.watcher.Start();
+  f.ExchangeFor(Milliseconds(600));
+  f.store.Put("config", "8");
+  f.ExchangeFor(Milliseconds(900));
+  BOOST_REQUIRE(f.follower.table.Version() == 8U);
+  f.store.m_down = true;
+  f.loop.Advance(Milliseconds(3000));
+  f.store.m_down = false;
+  f.store.Restore();
+  f.store.Put("config", "8");
+  // Without the leader, at the first read after the restore.
+  TimePoint read_at = f.loop.Now();
+  for (int i = 0; i < 400 && f.follower.log.Count("store_regained") == 0; ++i) {
+    f.loop.Advance(Milliseconds(10));
+    read_at = f.loop.Now();
+  }
+  BOOST_TEST((*f.follower.table.ConfirmedAt() > read_at - Milliseconds(20)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
