Restore the store in the soak

The stand-in of the platform's store states its era, keeps copies, and comes back from one: revisions and lease IDs are given out again, watches are cut, and a watch from a revision that it lacks gets 410. The soak's operator writes its configuration again up to half a second later.

--- a/tests/fakes/platform_store.cc
+++ b/tests/fakes/platform_store.cc
@@ -34,14 +34,34 @@
   return bytes;
 }
 
-void ReplyJson(const std::shared_ptr<StandInReply>& reply, int status, const json& body) {
-  reply->Whole(status, {{"Content-Type", "application/json"}}, body.dump());
-}
-
 uint64_t ParseNumber(const std::string& text) { return text.empty() ? 0 : std::stoull(text); }
 
 }  // namespace
 
+void PlatformStore::ReplyJson(const std::shared_ptr<StandInReply>& reply, int status,
+                              const json& body) const {
+  reply->Whole(status, {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(m_era)}},
+               body.dump());
+}
+
+void PlatformStore::BackUp() { m_backup = {m_revision, m_next_lease, m_items, m_leases}; }
+
+void PlatformStore::Restore() {
+  m_revision = m_backup.revision;
+  m_next_lease = m_backup.next_lease;
+  m_items = m_backup.items;
+  m_leases = m_backup.leases;
+  for (auto& [id, lease] : m_leases) {
+    lease.first = m_loop->Now() + lease.second;
+  }
+  m_removal_revisions.clear();
+  ++m_era;
+  for (const auto& watcher : m_watchers) {
+    watcher->reply->Cut();
+  }
+  m_watchers.clear();
+}
+
 void PlatformStore::Put(const std::string& key, const std::string& value, uint64_t lease) {
   Item& item = m_items[key];
   item.value = value;
@@ -148,7 +168,7 @@
                           const std::shared_ptr<StandInReply>& reply) {
   const std::string prefix = QueryValue(request, "pathPrefix");
   const uint64_t after = ParseNumber(QueryValue(request, "after"));
-  if (m_fault == Fault::kHistoryLost) {
+  if (m_fault == Fault::kHistoryLost || after > m_revision) {
     ReplyJson(reply, 410, json::object());
     return;
   }
--- a/tests/fakes/platform_store.h
+++ b/tests/fakes/platform_store.h
@@ -37,6 +37,11 @@
   // Put and Remove act as the operator or an upstream; injected faults do not affect them.
   void Put(const std::string& key, const std::string& value, uint64_t lease = 0);
   void Remove(const std::string& key);
+  // Keeps a copy of all items and leases.
+  void BackUp();
+  // Returns to the copy in a new era: revisions and lease IDs are given out again, and watches end
+  // without a reply. The leases of the copy run on from now.
+  void Restore();
 
  private:
   struct Item {
@@ -52,6 +57,15 @@
     std::unique_ptr<Timer> timer;
   };
 
+  struct Backup {
+    uint64_t revision = 1;
+    uint64_t next_lease = 1;
+    std::map<std::string, Item> items;
+    std::map<uint64_t, std::pair<TimePoint, Milliseconds>> leases;
+  };
+
+  void ReplyJson(const std::shared_ptr<StandInReply>& reply, int status,
+                 const nlohmann::json& body) const;
   void Serve(const StandInRequest& request, const std::shared_ptr<StandInReply>& reply);
   void Watch(const StandInRequest& request, const std::shared_ptr<StandInReply>& reply);
   void Transact(const nlohmann::json& body, const std::shared_ptr<StandInReply>& reply);
@@ -68,6 +82,8 @@
   std::map<std::string, Item> m_items;
   std::map<std::string, uint64_t> m_removal_revisions;              // Removal revision by key.
   std::map<uint64_t, std::pair<TimePoint, Milliseconds>> m_leases;  // Expiry time and TTL by ID.
+  uint64_t m_era = 1;
+  Backup m_backup;
   std::vector<std::shared_ptr<Watcher>> m_watchers;
   std::vector<std::unique_ptr<Timer>> m_delayed_replies;
 };
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -42,6 +42,7 @@
 // The bound of the settings, and the time that the way of an answer may take on a busy machine.
 constexpr Milliseconds kKeyRemoval{5000};
 constexpr Milliseconds kKeySlack{500};
+constexpr Milliseconds kBackupDelay{1500};
 constexpr int kFinalCalls = 40;
 // Requests with a bad part that may reach engines later than the window after the fifth crash. An
 // instance counts once it has been undisturbed for the window.
@@ -116,6 +117,7 @@
       return m_report;
     }
     Let(kStartTime);
+    m_store->BackUp();
     Send();
     const TimePoint end = m_loop->Now() + m_options.faults_for;
     while (m_loop->Now() < end) {
@@ -237,7 +239,11 @@
     instance->disturbed_at = m_loop->Now();
   }
 
-  void WriteConfig() { m_store->Put("op/config", fakes::PlatformConfig(++m_version, m_keys)); }
+  void WriteConfig() {
+    ++m_version;
+    PutConfig();
+  }
+  void PutConfig() { m_store->Put("op/config", fakes::PlatformConfig(m_version, m_keys)); }
 
   void Send() {
     m_send_timer = m_loop->After(kCallInterval, [this] {
@@ -270,6 +276,10 @@
     Instance* const instance = m_instances[m_random->Below(m_instances.size())].get();
     PlatformUpstream* const upstream = m_upstreams[m_random->Below(m_upstreams.size())].get();
     const Milliseconds time(200 + static_cast<int64_t>(m_random->Below(2300)));
+    if (m_options.restores && m_random->Below(3) == 0) {
+      RestoreStore(time);
+      return;
+    }
     switch (m_random->Below(11)) {
       case 0:
         Note("kill " + instance->name);
@@ -353,9 +363,25 @@
     }
   }
 
+  // The store is away for `time` and comes back from its last copy. The operator writes its
+  // configuration again after that, the upstreams with their heartbeats.
+  void RestoreStore(Milliseconds time) {
+    Note("restore after " + std::to_string(time.count()) + " ms");
+    const Milliseconds rewrite(m_random->Below(500));
+    m_store->InjectFault(PlatformStore::Fault::kUnresponsive);
+    m_store_disturbed_at = m_loop->Now() + time + rewrite;
+    Later(time, [this] {
+      m_store->Restore();
+      m_store->InjectFault(PlatformStore::Fault::kNone);
+    });
+    Later(time + rewrite, [this] { PutConfig(); });
+    Later(time + rewrite + kBackupDelay, [this] { m_store->BackUp(); });
+  }
+
   void EndFaults() {
     Note("end of faults");
     m_later.clear();
+    PutConfig();
     m_store->InjectFault(PlatformStore::Fault::kNone);
     for (const auto& upstream : m_upstreams) {
       upstream->SetTrouble(UpstreamTrouble::kNone);
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -18,10 +18,8 @@
   return text == nullptr ? fallback : std::strtoll(text, nullptr, 10);
 }
 
-void Play(uint64_t seed, bool bad_part) {
-  SoakOptions options;
-  options.seed = seed;
-  options.bad_part = bad_part;
+void Play(SoakOptions options) {
+  const uint64_t seed = options.seed;
   options.instances = static_cast<int>(FromEnvironment("AZUREGW_SOAK_INSTANCES", 4));
   options.faults_for = Milliseconds(FromEnvironment("AZUREGW_SOAK_MS", 8000));
   const SoakReport report = RunSoak(options);
@@ -31,7 +29,7 @@
   }
   story += " at the end " + std::to_string(report.served_at_end) + " of " +
            std::to_string(report.asked_at_end);
-  if (bad_part) {
+  if (options.bad_part) {
     story += ", crashes " + std::to_string(report.bad_part_crashes) + ", late sends " +
              std::to_string(report.bad_part_sends);
   }
@@ -55,23 +53,35 @@
 BOOST_AUTO_TEST_SUITE(soak)
 
 // Plays the seeds of the environment, or `first` to `last`.
-void PlaySeeds(uint64_t first, uint64_t last, bool bad_part) {
+void PlaySeeds(uint64_t first, uint64_t last, SoakOptions options) {
   if (const char* const range = std::getenv("AZUREGW_SOAK_SEEDS")) {
     char* rest = nullptr;
     first = std::strtoull(range, &rest, 10);
     last = *rest == '-' ? std::strtoull(rest + 1, nullptr, 10) : first;
   }
   for (uint64_t seed = first; seed <= last; ++seed) {
-    Play(seed, bad_part);
+    options.seed = seed;
+    Play(options);
   }
 }
 
 // Guards against promises that hold for single faults only.
-BOOST_AUTO_TEST_CASE(promises_hold_under_overlapping_faults) { PlaySeeds(1, 2, false); }
+BOOST_AUTO_TEST_CASE(promises_hold_under_overlapping_faults) { PlaySeeds(1, 2, {}); }
 
 // Guards against prompts that crash engine after engine while instances restart, the store is away
 // and other engines crash (dathanna inc1), and against sound prompts that are refused with them.
-BOOST_AUTO_TEST_CASE(prompts_that_crash_engines_are_contained) { PlaySeeds(1, 2, true); }
+BOOST_AUTO_TEST_CASE(prompts_that_crash_engines_are_contained) {
+  SoakOptions options;
+  options.bad_part = true;
+  PlaySeeds(1, 2, options);
+}
+
+// Guards against promises that hold only while the store moves forward.
+BOOST_AUTO_TEST_CASE(promises_hold_while_the_store_is_restored) {
+  SoakOptions options;
+  options.restores = true;
+  PlaySeeds(1, 2, options);
+}
 
 BOOST_AUTO_TEST_SUITE_END()
 
