Quarantine whole requests that crash upstreams

A plain exchange did not even ask whether the upstream had exited, and hedged the request to a second one while the first ran it.

Change: the request as a whole, by service, key, method, target and body, is one more suspect beside the prompt's parts, in the same quarantine: evidence, merging, store, trials and lifting are the same. It differs in what the load pattern needs. Three crashes without an answer suffice, however often upstreams exit otherwise, since the request comes alone and seldom; requests that crashed the same upstreams are quarantined together, which costs their own callers only; after a first crash one upstream at a time gets it, without hedges; and after three crashes more it is not tried again. Plain exchanges wait for the exit check before they send again, which a host without the process answers at once. Any sealed answer clears a request, so that one that is only hit by the crashes of others is never sent thrice in a row.

--- a/include/azuregw/admission/prompt_quarantine.h
+++ b/include/azuregw/admission/prompt_quarantine.h
@@ -1,8 +1,10 @@
-// Finds the prompt parts that crash engines, and blocks requests that contain them.
+// Finds the prompt parts and the whole requests that crash upstreams, and blocks them.
 //
-// Decision module: no I/O, single-threaded. Load pattern: requests that share one part of their
-// prompts reach all instances, and each engine that begins an answer to one of them exits. The
-// crash also aborts the unrelated requests of that engine, so a single one identifies no part.
+// Decision module: no I/O, single-threaded. Load patterns: requests that share one part of their
+// prompts reach all instances, and each engine that begins an answer to one of them exits; or one
+// request, of any kind, comes again with the same caller, target and body, and each upstream that
+// begins to run it exits. The crash also aborts the unrelated requests of that upstream, so a
+// single one identifies nothing. In the following, a request is one more part of itself.
 //
 // Evidence: a crash counts against all shared parts of the requests that had just begun at the
 // engine. It counts until an answer to a prompt with the same part is written. Crashes that one
@@ -10,6 +12,11 @@
 // (PromptEvidence); merging is idempotent and does not depend on the order, so any instance can
 // relay it and a new leader rebuilds it from the followers. A part that one instance quarantines is
 // quarantined by all.
+//
+// Whole requests differ in three ways. They come alone and seldom, so fewer crashes must suffice,
+// however often upstreams exit otherwise. Those that crashed the same upstreams cannot be told
+// apart and are all quarantined; this costs their callers only. And one under which an upstream has
+// exited is sent to one upstream at a time.
 
 #ifndef AZUREGW_ADMISSION_PROMPT_QUARANTINE_H_
 #define AZUREGW_ADMISSION_PROMPT_QUARANTINE_H_
@@ -38,6 +45,8 @@
 // method, target and body.
 PartId MakeRequestPartId(std::string_view service, std::string_view key, std::string_view method,
                          std::string_view target, std::string_view body);
+// Returns whether the ID was made by MakeRequestPartId().
+bool IsRequestPart(PartId part);
 // Returns the ID as 16 hexadecimal digits, for logs.
 std::string PartName(PartId part);
 
@@ -92,6 +101,12 @@
   static constexpr Milliseconds kMaxTrialDelay{600000};
   // A trial without a result allows the next one after this time.
   static constexpr Milliseconds kTrialTimeout{30000};
+  // Crashes of a whole request beyond kMinCrashes, trials included, after which it is not tried
+  // again until its evidence expires or is lifted.
+  static constexpr int kMaxRequestTrials = 3;
+  // A whole request under which an upstream has exited blocks its repetitions here for this long,
+  // or until it ends.
+  static constexpr Milliseconds kProbeTimeout{3000};
   // A crash counts against prompts whose answers had at most this many events.
   static constexpr int kMaxEventsAtCrash = 1;
   // An answer with this many events, or a complete one, proves the parts of its prompt.
@@ -112,6 +127,8 @@
   std::optional<Block> Check(gsl::span<const PartId> parts, bool crashed, TimePoint now);
   // Records that a request with `parts` is sent. If one is quarantined, this is its trial.
   void OnSent(gsl::span<const PartId> parts, TimePoint now);
+  // Records that a request with `parts` has ended at an upstream, in whatever way.
+  void OnEnded(gsl::span<const PartId> parts);
   // Returns whether each part has a recent answer and no crash since, so that a crash under a
   // request with `parts` hardly has to do with its prompt.
   bool Proven(gsl::span<const PartId> parts, TimePoint now) const;
@@ -160,10 +177,11 @@
     TimePoint changed;
     uint64_t version = 0;      // Version of the last change.
     uint64_t own_version = 0;  // Own version of the last change by this instance.
-    TimePoint trial_until;     // A trial runs until then.
+    TimePoint trial_until;     // A trial, or a probe of a whole request, runs until then.
   };
 
-  // Crashes at least kMinCrashInterval apart, and the time of the first and the last one.
+  // Crashes at least kMinCrashInterval apart (of a whole request: all), and the time of the first
+  // and the last one.
   struct CrashCount {
     int count = 0;
     int isolated = 0;  // Crashes that came kTrialDelayProven or later after the last one: trials.
@@ -171,22 +189,26 @@
     TimePoint last;
   };
 
-  static CrashCount Count(const Part& part, const std::set<ProcessId>& explained);
+  static CrashCount Count(PartId id, const Part& part, const std::set<ProcessId>& explained);
   static bool WasProven(const Part& part, const CrashCount& crashes);
   // Returns the number of crashes at which the part is quarantined.
-  int Limit(const Part& part, const CrashCount& crashes) const;
+  int Limit(PartId id, const Part& part, const CrashCount& crashes) const;
   // Returns the share of the requests here that an exit of their engine ended as they began.
   double CrashShare() const { return (m_crashed + kPriorCrashed) / (m_begun + kPriorBegun); }
   // Adds a request that began to the share.
   void CountRequest(bool crashed, TimePoint now);
   // Returns the delay from the last crash to the next trial.
-  Milliseconds TrialDelay(const Part& part, const CrashCount& crashes) const;
+  Milliseconds TrialDelay(PartId id, const Part& part, const CrashCount& crashes) const;
+  // Returns the parts with the most crashes that none of `m_quarantined` explains, if these suffice
+  // for a quarantine: one part, or all whole requests with as many.
+  std::vector<PartId> FindWorst() const;
   // Add evidence; return whether it was new.
   bool AddCrash(PartId id, ProcessId process, TimePoint when, TimePoint now);
   bool AddAnswer(PartId id, TimePoint when, TimePoint now);
   // Record evidence of this instance, and notify the listener if it is new.
   void AddOwn(gsl::span<const PartId> changed);
-  PromptEvidence Collect(TimePoint now, const std::function<bool(const Part&)>& wanted) const;
+  PromptEvidence Collect(TimePoint now,
+                         const std::function<bool(PartId, const Part&)>& wanted) const;
   // Recomputes m_quarantined if the evidence changed, and drops expired evidence.
   void Update(TimePoint now);
   void DropWeakest();
--- a/src/admission/prompt_quarantine.cc
+++ b/src/admission/prompt_quarantine.cc
@@ -17,8 +17,12 @@
 
 // Interval at which expired evidence is dropped.
 constexpr Milliseconds kExpiryInterval{1000};
+// Marks the IDs of whole requests.
+constexpr PartId kRequestBit = PartId{1} << 63;
 // Retry-After while a trial is due or running at another instance.
 constexpr Milliseconds kMinRetryAfter{2000};
+// Retry-After while a whole request is probed.
+constexpr Milliseconds kProbeRetryAfter{200};
 
 uint64_t Digest(std::string_view first, std::string_view second) {
   std::string text(first);
@@ -37,7 +41,9 @@
 
 }  // namespace
 
-PartId MakePartId(std::string_view service, std::string_view part) { return Digest(service, part); }
+PartId MakePartId(std::string_view service, std::string_view part) {
+  return Digest(service, part) & ~kRequestBit;
+}
 
 PartId MakeRequestPartId(std::string_view service, std::string_view key, std::string_view method,
                          std::string_view target, std::string_view body) {
@@ -46,9 +52,11 @@
     text += std::to_string(field.size()) + ':';
     text += field;
   }
-  return Digest(service, text);
+  return Digest(service, text) | kRequestBit;
 }
 
+bool IsRequestPart(PartId part) { return (part & kRequestBit) != 0; }
+
 std::string PartName(PartId part) {
   char text[17];
   std::snprintf(text, sizeof(text), "%016llx", static_cast<unsigned long long>(part));
@@ -166,8 +174,9 @@
   return first || part.crashes.size() < before;
 }
 
-PromptQuarantine::CrashCount PromptQuarantine::Count(const Part& part,
+PromptQuarantine::CrashCount PromptQuarantine::Count(PartId id, const Part& part,
                                                      const std::set<ProcessId>& explained) {
+  const Milliseconds min_interval = IsRequestPart(id) ? Milliseconds(0) : kMinCrashInterval;
   std::vector<TimePoint> times;
   for (const auto& [process, when] : part.crashes) {
     if (explained.count(process) == 0) {
@@ -177,7 +186,7 @@
   std::sort(times.begin(), times.end());
   CrashCount result;
   for (const TimePoint when : times) {
-    if (result.count == 0 || when - result.last >= kMinCrashInterval) {
+    if (result.count == 0 || when - result.last >= min_interval) {
       result.isolated += result.count > 0 && when - result.last >= kTrialDelayProven ? 1 : 0;
       result.first = result.count == 0 ? when : result.first;
       result.last = when;
@@ -191,10 +200,13 @@
   return part.answered && crashes.first - *part.answered < kProofTtl;
 }
 
-int PromptQuarantine::Limit(const Part& part, const CrashCount& crashes) const {
+int PromptQuarantine::Limit(PartId id, const Part& part, const CrashCount& crashes) const {
   if (WasProven(part, crashes)) {
     return kMaxCrashes;
   }
+  if (IsRequestPart(id)) {
+    return kMinCrashes;
+  }
   const double needed = std::ceil(std::log(kFalseBlame) / std::log(std::min(0.9, CrashShare())));
   return std::clamp(static_cast<int>(needed), kMinCrashes, kMaxCrashes);
 }
@@ -206,9 +218,11 @@
   m_crashed = m_crashed * decay + (crashed ? 1 : 0);
 }
 
-Milliseconds PromptQuarantine::TrialDelay(const Part& part, const CrashCount& crashes) const {
+Milliseconds PromptQuarantine::TrialDelay(PartId id, const Part& part,
+                                          const CrashCount& crashes) const {
   Milliseconds delay = WasProven(part, crashes) ? kTrialDelayProven : kTrialDelay;
-  for (int i = 0; i < crashes.isolated; ++i) {
+  const int trials = IsRequestPart(id) ? crashes.count - kMinCrashes : crashes.isolated;
+  for (int i = 0; i < trials; ++i) {
     delay = std::min(kMaxTrialDelay, delay * 4);
   }
   return delay;
@@ -229,25 +243,13 @@
   }
   m_quarantined.clear();
   m_explained.clear();
-  while (true) {
-    PartId worst = 0;
-    int most = 0;
-    for (const auto& [id, part] : m_parts) {
-      const CrashCount crashes = Count(part, m_explained);
-      // A rising share of crashed requests does not release a part.
-      const int limit = part.quarantined ? kMinCrashes : Limit(part, crashes);
-      if (m_quarantined.count(id) == 0 && crashes.count >= limit && crashes.count > most) {
-        worst = id;
-        most = crashes.count;
+  for (std::vector<PartId> worst = FindWorst(); !worst.empty(); worst = FindWorst()) {
+    m_quarantined.insert(worst.begin(), worst.end());
+    for (const PartId id : worst) {
+      for (const auto& [process, when] : m_parts[id].crashes) {
+        m_explained.insert(process);
       }
     }
-    if (most == 0) {
-      break;
-    }
-    m_quarantined.insert(worst);
-    for (const auto& [process, when] : m_parts[worst].crashes) {
-      m_explained.insert(process);
-    }
   }
   std::vector<PartId> added;
   for (const PartId id : m_quarantined) {
@@ -259,6 +261,32 @@
   m_updated_version = m_version;
 }
 
+std::vector<PartId> PromptQuarantine::FindWorst() const {
+  std::vector<PartId> worst;
+  int most = 0;
+  for (const auto& [id, part] : m_parts) {
+    if (m_quarantined.count(id) > 0) {
+      continue;
+    }
+    const CrashCount crashes = Count(id, part, m_explained);
+    // A rising share of crashed requests does not release a part.
+    const int limit = part.quarantined ? kMinCrashes : Limit(id, part, crashes);
+    if (crashes.count < std::max(limit, most)) {
+      continue;
+    }
+    const bool tie = crashes.count == most;
+    if (tie && !IsRequestPart(id)) {
+      continue;
+    }
+    if (!tie || !IsRequestPart(worst.front())) {
+      worst.clear();
+    }
+    worst.push_back(id);
+    most = crashes.count;
+  }
+  return worst;
+}
+
 std::optional<PromptQuarantine::Block> PromptQuarantine::Check(gsl::span<const PartId> parts,
                                                                bool crashed, TimePoint now) {
   if (m_parts.empty() || parts.empty()) {
@@ -272,14 +300,21 @@
     }
     const Part& part = found->second;
     if (m_quarantined.count(id) == 0) {
-      const CrashCount crashes = Count(part, m_explained);
-      if (crashed && crashes.count + 1 >= Limit(part, crashes)) {
+      const CrashCount crashes = Count(id, part, m_explained);
+      if (crashed && crashes.count + 1 >= Limit(id, part, crashes)) {
         return Block{id, kTrialDelay};
       }
+      if (now < part.trial_until) {
+        return Block{id, kProbeRetryAfter};
+      }
       continue;
     }
-    const CrashCount crashes = Count(part, {});
-    const TimePoint trial = std::max(crashes.last + TrialDelay(part, crashes), part.trial_until);
+    const CrashCount crashes = Count(id, part, {});
+    if (IsRequestPart(id) && crashes.count >= kMinCrashes + kMaxRequestTrials) {
+      return Block{id, kMaxTrialDelay};
+    }
+    const TimePoint trial =
+        std::max(crashes.last + TrialDelay(id, part, crashes), part.trial_until);
     if (crashed || !m_trials_allowed || now < trial) {
       return Block{id, std::max(kMinRetryAfter, Age(now, trial))};
     }
@@ -291,6 +326,20 @@
   for (const PartId id : parts) {
     if (m_quarantined.count(id) > 0) {
       m_parts[id].trial_until = now + kTrialTimeout;
+      continue;
+    }
+    const auto part = m_parts.find(id);
+    if (part != m_parts.end() && IsRequestPart(id) && !part->second.crashes.empty()) {
+      part->second.trial_until = now + kProbeTimeout;
+    }
+  }
+}
+
+void PromptQuarantine::OnEnded(gsl::span<const PartId> parts) {
+  for (const PartId id : parts) {
+    const auto part = m_parts.find(id);
+    if (part != m_parts.end() && m_quarantined.count(id) == 0) {
+      part->second.trial_until = TimePoint();
     }
   }
 }
@@ -316,11 +365,11 @@
   AddOwn(changed);
 }
 
-PromptEvidence PromptQuarantine::Collect(TimePoint now,
-                                         const std::function<bool(const Part&)>& wanted) const {
+PromptEvidence PromptQuarantine::Collect(
+    TimePoint now, const std::function<bool(PartId, const Part&)>& wanted) const {
   PromptEvidence evidence;
   for (const auto& [id, part] : m_parts) {
-    if (!wanted(part)) {
+    if (!wanted(id, part)) {
       continue;
     }
     for (const auto& [process, when] : part.crashes) {
@@ -337,17 +386,18 @@
 }
 
 PromptEvidence PromptQuarantine::EvidenceSince(uint64_t version, TimePoint now) const {
-  return Collect(now, [version](const Part& part) { return part.version > version; });
+  return Collect(now, [version](PartId, const Part& part) { return part.version > version; });
 }
 
 PromptEvidence PromptQuarantine::OwnEvidenceSince(uint64_t own_version, TimePoint now) const {
-  return Collect(now, [own_version](const Part& part) { return part.own_version > own_version; });
+  return Collect(
+      now, [own_version](PartId, const Part& part) { return part.own_version > own_version; });
 }
 
 PromptEvidence PromptQuarantine::EvidenceToKeep(TimePoint now) {
   Update(now);
-  return Collect(now, [this](const Part& part) {
-    return part.quarantined || Count(part, m_explained).count >= kMinSuspectCrashes;
+  return Collect(now, [this](PartId id, const Part& part) {
+    return part.quarantined || Count(id, part, m_explained).count >= kMinSuspectCrashes;
   });
 }
 
@@ -387,7 +437,7 @@
   Update(now);
   std::map<PartId, int> result;
   for (const PartId id : m_quarantined) {
-    result[id] = Count(m_parts[id], {}).count;
+    result[id] = Count(id, m_parts[id], {}).count;
   }
   return result;
 }
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -282,14 +282,14 @@
     const std::map<PartId, int> parts = m_quarantine.Quarantined(m_loop->Now());
     for (const auto& [part, crashes] : parts) {
       if (m_quarantined.count(part) == 0) {
-        m_log->Write("prompt_part_quarantined", {{"part", PartName(part)}, {"crashes", crashes}},
-                     true);
+        m_log->Write(IsRequestPart(part) ? "request_quarantined" : "prompt_part_quarantined",
+                     {{"part", PartName(part)}, {"crashes", crashes}}, true);
       }
     }
     for (const auto& [part, crashes] : m_quarantined) {
       if (parts.count(part) == 0) {
-        m_log->Write("prompt_part_released", {{"part", PartName(part)}, {"crashes", crashes}},
-                     true);
+        m_log->Write(IsRequestPart(part) ? "request_released" : "prompt_part_released",
+                     {{"part", PartName(part)}, {"crashes", crashes}}, true);
       }
     }
     m_quarantined = parts;
--- a/src/forward/plain_exchange.cc
+++ b/src/forward/plain_exchange.cc
@@ -67,6 +67,10 @@
 
   void Start() override {
     StartDeadline();
+    if (const auto block = Block()) {
+      Refuse(ResultCode::kPromptQuarantined, "the request crashes upstreams", block->retry_after);
+      return;
+    }
     if (!StartNextAttempt()) {
       const bool limited = m_context->fleet->StartDelay(m_service, Now()).count() > 0;
       Refuse(limited ? ResultCode::kOverloaded : ResultCode::kNoChain,
@@ -97,7 +101,7 @@
       End(attempt);
       --m_sends;
       LogAttempt(*attempt, "not_run", "status " + std::to_string(status));
-      if (++m_refusals <= kMaxRefusals && TakeRetry() && StartNextAttempt()) {
+      if (++m_refusals <= kMaxRefusals && !Block() && TakeRetry() && StartNextAttempt()) {
         return;
       }
       GiveUp("the upstreams refuse work");
@@ -109,6 +113,7 @@
       return;
     }
     m_context->fleet->OnProgress(attempt->m_id, Now());
+    m_context->quarantine->OnAnswer(m_parts, Now());
     if (status >= 500 && MayRetry()) {
       m_failed_response = std::move(attempt->m_reply);
       OnAttemptBroken(attempt, "status " + std::to_string(status));
@@ -123,23 +128,57 @@
     End(attempt);
     LogAttempt(*attempt, "broken", reason);
     RecordFailure(attempt->m_id);
-    if (MayRetry() && m_sends < Route().max_attempts && TakeRetry() && StartNextAttempt()) {
-      return;
+    RetryOrGiveUp(reason);
+  }
+
+  // Handles the end of the connection before the response was complete. Before a retry, it must be
+  // known whether the upstream exited.
+  void OnConnectionEnded(Attempt* attempt, const std::string& reason) {
+    const TimePoint ended_at = Now();
+    End(attempt);
+    LogAttempt(*attempt, "broken", reason);
+    RecordFailure(attempt->m_id);
+    // The crash counts even if the caller leaves before it is known.
+    const auto record = [context = m_context, id = m_caller.id, parts = m_parts,
+                         upstream = attempt->m_id, ended_at](int64_t started_ms) {
+      context->quarantine->OnCrash(parts, MakeProcessId(upstream, started_ms), ended_at,
+                                   context->loop->Now());
+      context->log->Write("engine_exited_under_request",
+                          {{"request_id", id},
+                           {"upstream", upstream},
+                           {"started_ms", started_ms},
+                           {"request", PartName(parts.front())}},
+                          true);
+    };
+    m_context->exits->Check(attempt->m_id,
+                            [this, record, reason, alive = std::weak_ptr<int>(m_alive)](
+                                bool exited, int64_t started_ms) {
+                              if (exited) {
+                                record(started_ms);
+                              }
+                              if (alive.expired() || Closed()) {
+                                return;
+                              }
+                              m_crashed |= exited;
+                              if (MayRetry()) {
+                                RetryOrGiveUp(reason);
+                              }
+                            });
+    if (!MayRetry()) {
+      GiveUp(reason);
     }
-    GiveUp(reason);
   }
 
   void OnAttemptFailed(Attempt* attempt, const HttpFailure& failure) {
     if (failure.maybe_sent) {
-      LogExit(attempt->m_id);
-      OnAttemptBroken(attempt, failure.reason);
+      OnConnectionEnded(attempt, failure.reason);
       return;
     }
     End(attempt);
     --m_sends;
     LogAttempt(*attempt, "not_sent", failure.reason);
     m_context->fleet->Suspect(attempt->m_id, kUnreachableSuspectTime, Now());
-    if (++m_refusals <= kMaxRefusals && StartNextAttempt()) {
+    if (++m_refusals <= kMaxRefusals && !Block() && StartNextAttempt()) {
       return;
     }
     GiveUp("no upstream can be reached");
@@ -183,6 +222,7 @@
     options.connect_timeout = kConnectTimeout;
     options.max_idle = MayRetry() ? kRepeatableMaxIdle : kOrderMaxIdle;
     ++m_sends;
+    m_context->quarantine->OnSent(m_parts, Now());
     m_context->fleet->Reserve(id, 0);
     m_context->fleet->OnStart(id, Now());
     const Upstream* const upstream = m_context->fleet->Find(id);
@@ -207,7 +247,7 @@
 
   // Sends a hedged request if the budget allows it.
   void Hedge() {
-    if (Closed() || m_sends >= Route().max_attempts || !TakeRetry()) {
+    if (Closed() || m_sends >= Route().max_attempts || Block() || !TakeRetry()) {
       return;
     }
     for (const auto& attempt : m_attempts) {
@@ -218,19 +258,17 @@
     StartNextAttempt();
   }
 
-  // Logs it if the upstream exited.
-  void LogExit(const std::string& upstream) {
-    m_context->exits->Check(upstream, [context = m_context, id = m_caller.id, upstream,
-                                       request = RequestPart()](bool exited, int64_t started_ms) {
-      if (exited) {
-        context->log->Write("engine_exited_under_request",
-                            {{"request_id", id},
-                             {"upstream", upstream},
-                             {"started_ms", started_ms},
-                             {"request", PartName(request)}},
-                            true);
-      }
-    });
+  // Returns the quarantine that forbids another send, if any.
+  std::optional<PromptQuarantine::Block> Block() const {
+    return m_context->quarantine->Check(m_parts, m_crashed, Now());
+  }
+
+  void RetryOrGiveUp(const std::string& reason) {
+    if (MayRetry() && m_sends < Route().max_attempts && !Block() && TakeRetry() &&
+        StartNextAttempt()) {
+      return;
+    }
+    GiveUp(reason);
   }
 
   bool TakeRetry() { return m_context->budget->Take(m_service, Now()); }
@@ -279,6 +317,7 @@
     if (!attempt->m_ended) {
       attempt->m_ended = true;
       m_context->fleet->Release(attempt->m_id, 0);
+      m_context->quarantine->OnEnded(m_parts);
       attempt->m_call->Cancel();
     }
   }
@@ -300,6 +339,9 @@
                           true);
   }
 
+  const std::vector<PartId> m_parts{RequestPart()};
+  bool m_crashed = false;  // An upstream exited under this request.
+  const std::shared_ptr<int> m_alive = std::make_shared<int>(0);  // Expires with the exchange.
   std::vector<std::unique_ptr<Attempt>> m_attempts;
   std::optional<BufferedResponse> m_failed_response;  // Delivered if no attempt succeeds.
   int m_refusals = 0;                                 // Number of sends that provably did not run.
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -59,6 +59,7 @@
   for (const std::string& part : m_caller.shared_parts) {
     m_parts.push_back(MakePartId(m_service, part));
   }
+  m_parts.push_back(RequestPart());
   const auto service = m_match.config->services.find(m_service);
   if (service != m_match.config->services.end() && service->second.engine) {
     m_profile = &*service->second.engine;
@@ -344,6 +345,7 @@
   m_context->monitor->End(this);
   m_silence_timer.reset();
   m_call->Cancel();
+  m_context->quarantine->OnEnded(m_parts);
   m_context->fleet->EndPath(m_path.hops.front().id);
   for (const PathHop& hop : m_path.hops) {
     m_context->fleet->Release(hop.id, Reservation(hop));
@@ -429,8 +431,7 @@
   const TimePoint ended_at =
       m_crashed ? std::max(Now(), m_crashed_at + PromptQuarantine::kMinCrashInterval) : Now();
   const bool beginning = m_scanner.Events() <= PromptQuarantine::kMaxEventsAtCrash;
-  const bool await_check =
-      beginning && !m_parts.empty() && !m_context->quarantine->Proven(m_parts, ended_at);
+  const bool await_check = beginning && !m_context->quarantine->Proven(m_parts, ended_at);
   EndAttempt();
   LogAttempt("broken", reason);
   SuspectEngine(first, kBrokenSuspectTime, reason);
@@ -448,7 +449,8 @@
                          {"upstream", first},
                          {"started_ms", started_ms},
                          {"events", events},
-                         {"parts", names}},
+                         {"parts", names},
+                         {"request", PartName(parts.back())}},
                         true);
   };
   m_context->exits->Check(first,
@@ -483,9 +485,12 @@
 void StreamExchange::EndBlocked(const PromptQuarantine::Block& block) {
   m_context->queue->Remove(this);
   m_wait_timer.reset();
-  const auto part = std::find(m_parts.begin(), m_parts.end(), block.part) - m_parts.begin();
-  const std::string reason =
-      "part " + m_caller.shared_parts[static_cast<size_t>(part)] + " of the prompt crashes engines";
+  std::string reason = "the request crashes engines";
+  if (!IsRequestPart(block.part)) {
+    const auto part = std::find(m_parts.begin(), m_parts.end(), block.part) - m_parts.begin();
+    reason = "part " + m_caller.shared_parts[static_cast<size_t>(part)] +
+             " of the prompt crashes engines";
+  }
   if (m_sends > 0) {
     GiveUp(reason);
   } else {
--- a/src/forward/stream_exchange.h
+++ b/src/forward/stream_exchange.h
@@ -154,7 +154,7 @@
 
   void LogAttempt(const char* outcome, const std::string& reason);
 
-  std::vector<PartId> m_parts;  // Shared parts of the prompt.
+  std::vector<PartId> m_parts;  // Shared parts of the prompt, then the request as a whole.
   bool m_crashed = false;       // An engine exited while it began an answer to this request.
   TimePoint m_crashed_at;       // Time of the last such exit.
   const EngineProfile* m_profile = nullptr;  // Owned by the configuration of `m_match`.
