Send the first junk together with the answer in a test of it

http_client/endless_junk_after_an_answer_is_dropped failed once beside a build. The junk followed in a second write; where it came after the end of the call, the connection had been kept, and the next call failed on the junk, which is right. What it checks is the same.

--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -210,7 +210,10 @@
 // Junk after a complete answer must not become part of the next one.
 BOOST_AUTO_TEST_CASE(endless_junk_after_an_answer_is_dropped) {
   Fixture f([](size_t, const std::string&) {
-    ScriptedServer::Step step = Raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    // The first junk comes in the same write as the answer, so that the client has seen it when it
+    // decides whether to keep the connection.
+    ScriptedServer::Step step =
+        Raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" + std::string(512, 'j'));
     step.endless = std::string(4096, 'j');
     return step;
   });
@@ -234,6 +237,26 @@
   BOOST_TEST(recorder.body == "abcde");
 }
 
+// Guards against a head that breaks off and counts as an answer with an empty or a short body.
+BOOST_AUTO_TEST_CASE(head_that_breaks_off_is_no_answer) {
+  for (const char* const head :
+       {"HTTP/1.1 2", "HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nX-Id: mine\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Id: mi",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"}) {
+    Fixture f([head](size_t, const std::string&) {
+      ScriptedServer::Step step;
+      step.act = ScriptedServer::Act::kReplyAndClose;
+      step.raw = head;
+      return step;
+    });
+    Recorder recorder;
+    f.Run(&recorder);
+    BOOST_TEST(recorder.failure.has_value(), head);
+    BOOST_TEST(!recorder.done, head);
+    BOOST_TEST(recorder.status == 0, head);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
