Do not take a refusal that is written again for the answer to a request

Callers are told that their request has not run, while it runs; or it runs at a second engine.

It can happen here: a response without a request ID was taken for the answer to the present request, also on a connection that had served others; a stream that is sent again to an engine that refused it has the ID of that refusal; and a connection kept in the same tick of the clock counted as not idle, so that an order might have used it.

The same tick was found by reading and has no test, since the client reads the system clock.

Change: calls tell whether their connection was reused; there, a response without an ID belongs to no request and is skipped. An engine that refused a stream gets it again on a new connection only. A limit of zero never reuses one. Orders had new connections before.

--- a/include/azuregw/net/http_client.h
+++ b/include/azuregw/net/http_client.h
@@ -61,6 +61,9 @@
   virtual void Cancel() = 0;
   // Whether any byte of the request was handed to the network.
   virtual bool MaybeSent() const = 0;
+  // Whether the connection has served another call before. Bytes that its server wrote too often
+  // may then come in place of the answer.
+  virtual bool Reused() const = 0;
 };
 
 class HttpClient {
--- a/src/forward/plain_exchange.cc
+++ b/src/forward/plain_exchange.cc
@@ -85,9 +85,10 @@
   UpstreamResponse ReadResponse(int status, const HttpFields& fields) const {
     return m_context->wire->ReadResponse(status, fields);
   }
-  // Returns whether the response is for this request, as far as it names one.
-  bool MatchesRequest(const UpstreamResponse& answer) const {
-    return answer.request_id.empty() || answer.request_id == m_caller.id;
+  // Returns whether the response is for this request. One that names none may have been written
+  // again for an earlier request, if the connection has served one.
+  bool MatchesRequest(const UpstreamResponse& answer, const ClientCall& call) const {
+    return answer.request_id == m_caller.id || (answer.request_id.empty() && !call.Reused());
   }
 
   void OnResponse(Attempt* attempt) {
@@ -350,7 +351,7 @@
 
 bool Attempt::OnHead(const HttpResponseHead& head) {
   m_response_info = m_exchange->ReadResponse(static_cast<int>(head.result_int()), head);
-  if (!m_exchange->MatchesRequest(m_response_info)) {
+  if (!m_exchange->MatchesRequest(m_response_info, *m_call)) {
     return false;
   }
   m_reply.status = static_cast<int>(head.result_int());
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -127,7 +127,9 @@
 bool StreamExchange::OnHead(const HttpResponseHead& head) {
   const int status = static_cast<int>(head.result_int());
   m_response_info = m_context->wire->ReadResponse(status, head);
-  if (!m_response_info.request_id.empty() && m_response_info.request_id != m_caller.id) {
+  // A response without an ID may have been written again for an earlier request.
+  const std::string& id = m_response_info.request_id;
+  if (id.empty() ? m_call->Reused() : id != m_caller.id) {
     return false;
   }
   RecordRateLimit(m_path.hops.front().id, m_response_info, m_attempt_started);
@@ -295,7 +297,9 @@
   // The path was chosen from the current fleet, so the engine is listed.
   options.endpoint = *UpstreamEndpoint(*m_context->fleet, first.id);
   options.connect_timeout = kConnectTimeout;
-  options.max_idle = MayRetry() ? kMaxConnectionIdle : Milliseconds(0);
+  // An engine that refused this request may write the refusal again, under the same ID.
+  const bool may_reuse = MayRetry() && m_refused_by.count(first.id) == 0;
+  options.max_idle = may_reuse ? kMaxConnectionIdle : Milliseconds(0);
   ++m_sends;
   m_context->quarantine->OnSent(m_parts, Now());
   m_context->queue->OnStarted(Now());
@@ -382,6 +386,7 @@
   EndAttempt();
   if (m_response_info.not_run) {
     --m_sends;
+    m_refused_by.insert(first);
     std::string faulty_engine = first;
     if (!m_response_info.fault_address.empty()) {
       if (const std::string* named =
--- a/src/forward/stream_exchange.h
+++ b/src/forward/stream_exchange.h
@@ -160,6 +160,7 @@
   const EngineProfile* m_profile = nullptr;  // Owned by the configuration of `m_match`.
   double m_reserved_tokens = 0;              // Tokens reserved per layer on each engine.
   std::set<std::string> m_excluded_engines;  // Engines that refused or failed this request.
+  std::set<std::string> m_refused_by;  // Engines that stated that they did not run the request.
   PathError m_path_error = PathError::kNoCapacity;
   bool m_was_queued = false;  // True once the request has been queued for a path.
   int m_refusals = 0;         // Number of retries while the request provably did not run.
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -74,6 +74,7 @@
     }
   }
   bool MaybeSent() const override { return m_writing; }
+  bool Reused() const override { return m_reused; }
 
  private:
   void Connect();
@@ -93,6 +94,7 @@
   std::optional<http::response_parser<http::buffer_body>> m_parser;
   std::array<char, kBodyBufferBytes> m_body;
   bool m_writing = false;  // Bytes of the request may have left.
+  bool m_reused = false;   // The connection was kept from another call.
   bool m_written = false;  // The whole request was written.
   bool m_refused = false;  // The host refused the connection.
   bool m_foreign = false;  // The answer being read belongs to another request.
@@ -135,7 +137,9 @@
     while (!found->second.empty() && result == nullptr) {
       std::unique_ptr<Connection> candidate = std::move(found->second.back());
       found->second.pop_back();
-      if (now - candidate->idle_since <= options.max_idle && StillOpen(candidate.get())) {
+      const bool fresh =
+          options.max_idle.count() > 0 && now - candidate->idle_since <= options.max_idle;
+      if (fresh && StillOpen(candidate.get())) {
         result = std::move(candidate);
       }
     }
@@ -164,6 +168,7 @@
 
 void BeastCall::Begin(std::unique_ptr<Connection> kept) {
   m_connection = std::move(kept);
+  m_reused = m_connection != nullptr;
   auto self = shared_from_this();
   asio::post(*m_loop, [self] {
     if (self->m_handler == nullptr) {
--- a/tests/forward/plain_exchange_test.cc
+++ b/tests/forward/plain_exchange_test.cc
@@ -169,6 +169,19 @@
   BOOST_TEST(f.client.calls.size() == 1U);
 }
 
+// Guards against a refusal of an earlier request that a faulty upstream writes again on a kept
+// connection: the order would be said not to have run, and run at a second upstream.
+BOOST_AUTO_TEST_CASE(refusal_without_an_id_on_a_reused_connection_is_not_taken) {
+  for (const bool reused : {true, false}) {
+    GatewayFixture f;
+    const auto exchange = f.Start("/look/1");
+    f.Call(0).reused = reused;
+    f.Call(0).id.clear();
+    f.Call(0).SendHead(503, false, true);
+    BOOST_TEST(f.Call(0).foreign == reused);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/forward/stream_exchange_test.cc
+++ b/tests/forward/stream_exchange_test.cc
@@ -443,6 +443,70 @@
   BOOST_TEST(!f.responder.complete);
 }
 
+// Guards against a refusal of an earlier request that a faulty engine writes again on a kept
+// connection.
+BOOST_AUTO_TEST_CASE(refusal_without_an_id_on_a_reused_connection_is_not_taken) {
+  GatewayFixture f;
+  const auto exchange = f.Start("/stream/1");
+  f.Call(0).reused = true;
+  f.Call(0).id.clear();
+  f.Call(0).SendHead(503, false, true);
+  BOOST_TEST(f.Call(0).foreign);
+}
+
+// Guards against the same where the stream is sent once more to the engine that has refused it: the
+// repeated refusal has its ID.
+BOOST_AUTO_TEST_CASE(stream_is_sent_again_to_an_engine_that_refused_it_on_a_new_connection) {
+  GatewayFixture f;
+  std::vector<UpstreamRecord> records;
+  for (const char* const id : {"low0", "high0"}) {
+    records.push_back(f.fleet.Find(id)->record);
+  }
+  f.fleet.Update(std::move(records), false, f.loop.Now());
+  const auto exchange = f.Start("/stream/1");
+  BOOST_TEST((f.Call(0).options.max_idle > Milliseconds(0)));
+  f.fleet.OnProgress("low0", f.loop.Now());
+  f.Call(0).Respond(503, "", false, true);
+  for (int i = 0; i < 40 && f.client.calls.size() == 1U; ++i) {
+    f.loop.Advance(Milliseconds(25));
+    f.queue.StartEligible(f.loop.Now());
+  }
+  BOOST_REQUIRE(f.client.calls.size() == 2U);
+  BOOST_TEST((f.Call(1).options.max_idle == Milliseconds(0)));
+}
+
+// Guards against an error of the next engine in the middle of a stream that had begun, and against
+// a stream that ends with it as if it were complete.
+BOOST_AUTO_TEST_CASE(error_of_the_next_engine_does_not_reach_a_stream_that_had_begun) {
+  struct Answer {
+    int status;
+    bool sealed;
+    bool not_run;
+  };
+  const Answer answers[] = {{404, true, false},  {400, false, false}, {500, true, false},
+                            {503, false, false}, {503, false, true},  {421, false, true},
+                            {200, false, false}};
+  for (const Answer& answer : answers) {
+    for (const bool framed : {true, false}) {
+      GatewayFixture f;
+      const auto exchange = f.Start("/stream/1");
+      f.Call(0).SendHead(200, true);
+      f.Call(0).SendBody(Event(1) + Event(2));
+      f.Call(0).Fail(true);
+      for (size_t i = 1; i < f.client.calls.size() && i < 20; ++i) {
+        f.Call(i).framed = framed;
+        f.Call(i).Respond(answer.status, "HTTP/1.1 500 error text\r\n\r\n" + Event(9),
+                          answer.sealed, answer.not_run);
+      }
+      f.loop.Advance(Milliseconds(25000));
+      BOOST_TEST(f.responder.body == Event(1) + Event(2));
+      BOOST_TEST(!f.responder.complete);
+      BOOST_TEST(f.responder.broken);
+      BOOST_TEST(f.responder.ends == 1);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/support/fake_gateway.h
+++ b/tests/support/fake_gateway.h
@@ -28,6 +28,7 @@
 
   void Cancel() override { m_handler = nullptr; }
   bool MaybeSent() const override { return true; }
+  bool Reused() const override { return reused; }
   // Returns true once the call is cancelled, finished or failed.
   bool Cancelled() const { return m_handler == nullptr; }
 
@@ -35,7 +36,9 @@
   void SendHead(int status, bool sealed, bool not_run = false) {
     HttpResponseHead head;
     head.result(static_cast<unsigned>(status));
-    head.set("Id", request["Id"]);
+    if (!id.empty()) {
+      head.set("Id", id);
+    }
     if (sealed) {
       head.set("Seal", "s");
     }
@@ -48,8 +51,8 @@
     if (rate_limit) {
       head.set("Limit", std::to_string(*rate_limit));
     }
-    if (m_handler != nullptr) {
-      m_handler->OnHead(head);
+    if (m_handler != nullptr && !m_handler->OnHead(head)) {
+      foreign = true;
     }
   }
   // Sends part of the response body.
@@ -79,7 +82,10 @@
 
   const HttpCallOptions options;
   const HttpRequest request;
+  std::string id{request["Id"]};     // Of the request, in the response; empty: none.
+  bool reused = false;               // The connection has served another call.
   std::optional<double> rate_limit;  // Limit that the upstream states.
+  bool foreign = false;              // A head was taken for the response to another request.
   bool framed = true;  // The response states its end; otherwise it ends with the connection.
 
  private:
