Do not take the exit of an upstream for the end of an unframed answer

Cause: such an answer ends with its connection, and the exit of a process ends the connection in the same way.

Evidence: plain_exchange/unframed_answer_of_an_exited_upstream_is_not_whole failed before, for orders and for look-ups, and passes.

Change: before an unframed answer is delivered, the upstream is queried; if its process is gone, the connection counts as broken.

--- a/src/forward/plain_exchange.cc
+++ b/src/forward/plain_exchange.cc
@@ -49,6 +49,7 @@
   TimePoint m_sent_at;
   BufferedResponse m_reply;
   UpstreamResponse m_response_info;
+  bool m_framed = false;  // The response states where it ends.
 };
 
 // Sends a request that may run once again only while it is proved that no upstream ran it. For a
@@ -125,6 +126,21 @@
     Deliver(std::move(attempt->m_reply), "answered by " + attempt->m_id);
   }
 
+  // Handles a response that ended with its connection. It is whole unless the upstream exited.
+  void OnUnframedResponse(Attempt* attempt) {
+    m_context->exits->Check(attempt->m_id, [this, attempt, alive = std::weak_ptr<int>(m_alive)](
+                                               bool exited, int64_t /*started_ms*/) {
+      if (alive.expired() || Closed() || attempt->m_ended) {
+        return;
+      }
+      if (exited) {
+        OnConnectionEnded(attempt, "the upstream exited before its response had an end");
+      } else {
+        OnResponse(attempt);
+      }
+    });
+  }
+
   void OnAttemptBroken(Attempt* attempt, const std::string& reason) {
     End(attempt);
     LogAttempt(*attempt, "broken", reason);
@@ -354,6 +370,8 @@
   if (!m_exchange->MatchesRequest(m_response_info, *m_call)) {
     return false;
   }
+  m_framed = head.count(boost::beast::http::field::transfer_encoding) > 0 ||
+             head.count(boost::beast::http::field::content_length) > 0;
   m_reply.status = static_cast<int>(head.result_int());
   m_reply.fields = EndToEndFields(head);
   return true;
@@ -367,7 +385,13 @@
   m_reply.body.append(bytes);
 }
 
-void Attempt::OnDone() { m_exchange->OnResponse(this); }
+void Attempt::OnDone() {
+  if (m_framed) {
+    m_exchange->OnResponse(this);
+  } else {
+    m_exchange->OnUnframedResponse(this);
+  }
+}
 
 void Attempt::OnFailed(const HttpFailure& failure) { m_exchange->OnAttemptFailed(this, failure); }
 
--- a/tests/forward/plain_exchange_test.cc
+++ b/tests/forward/plain_exchange_test.cc
@@ -182,6 +182,21 @@
   }
 }
 
+// Guards against an answer without a length that ends because its upstream exits, and counts as
+// whole.
+BOOST_AUTO_TEST_CASE(unframed_answer_of_an_exited_upstream_is_not_whole) {
+  for (const char* const target : {"/order/1", "/look/1"}) {
+    for (const bool exited : {true, false}) {
+      GatewayFixture f;
+      const auto exchange = f.Start(target);
+      f.Call(0).framed = false;
+      f.engines.refuses = exited;
+      f.Call(0).Respond(200, "half of the ans");
+      BOOST_TEST((f.responder.status == 200) == !exited);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
