--- a/include/azuregw/forward/engine_exit_checker.h
+++ b/include/azuregw/forward/engine_exit_checker.h
@@ -17,8 +17,8 @@
 
 namespace azuregw {
 
-// Queries an upstream once for all requests whose connections to it ended together. Runs on one event
-// loop; not thread-safe.
+// Queries an upstream once for all requests whose connections to it ended together. Runs on one
+// event loop; not thread-safe.
 class EngineExitChecker {
  public:
   // `exited`: the process is gone although it had not announced that it leaves.
