Do not use an entry whose address a later process has

Cause: an address was taken for a property of one entry.

Change: an entry counts only if no later process is known at its address, also when the list that has it lacks the later one. Entries without a start time are left alone.

fleet/entry_does_not_outlive_the_next_process_at_its_address failed before (three checks) and passes. Why it works: the platform gives an address to one process at a time, and every entry states the start of its process.

--- a/include/azuregw/fleet/fleet.h
+++ b/include/azuregw/fleet/fleet.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <gsl/span>
 #include <map>
 #include <optional>
 #include <string>
@@ -227,6 +228,9 @@
     TimePoint removed_at;
   };
 
+  // Returns the latest start at each address in `records` and in the present list. Entries of
+  // earlier processes there are outdated: those of crashed processes stay until they expire.
+  std::map<std::string, int64_t> LatestStarts(gsl::span<const UpstreamRecord> records) const;
   // Replaces what `record` says of a process by what is known of it, if that is newer. Returns
   // false if the process is gone.
   bool Reconcile(UpstreamRecord* record) const;
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -57,14 +57,33 @@
   }
 }
 
+std::map<std::string, int64_t> Fleet::LatestStarts(gsl::span<const UpstreamRecord> records) const {
+  std::map<std::string, int64_t> latest;
+  const auto add = [&latest](const UpstreamRecord& record) {
+    int64_t& started_ms = latest[record.address];
+    started_ms = std::max(started_ms, record.started_ms);
+  };
+  for (const UpstreamRecord& record : records) {
+    add(record);
+  }
+  for (const auto& [id, upstream] : m_upstreams) {
+    add(upstream.record);
+  }
+  return latest;
+}
+
 std::vector<FleetChange> Fleet::Update(std::vector<UpstreamRecord> records, bool after_outage,
                                        TimePoint now) {
   std::vector<FleetChange> changes;
   std::map<std::string, Upstream> next;
   m_reconciling = now < m_reconcile_until;
   after_outage |= now < m_relist_until;
+  const std::map<std::string, int64_t> latest_starts = LatestStarts(records);
+  const auto superseded = [&latest_starts](const UpstreamRecord& record) {
+    return record.started_ms > 0 && record.started_ms < latest_starts.at(record.address);
+  };
   for (UpstreamRecord& record : records) {
-    if (m_reconciling && !Reconcile(&record)) {
+    if (superseded(record) || (m_reconciling && !Reconcile(&record))) {
       continue;
     }
     Upstream upstream;
@@ -102,17 +121,19 @@
     if (next.count(id) > 0) {
       continue;
     }
-    if (after_outage) {
+    const bool gone = superseded(upstream.record);
+    if (after_outage && !gone) {
       m_retained_until.emplace(id, now + kRelistGrace);
     }
     const auto retained = m_retained_until.find(id);
-    if (retained != m_retained_until.end() && now < retained->second) {
+    if (!gone && retained != m_retained_until.end() && now < retained->second) {
       next.emplace(id, std::move(upstream));
       continue;
     }
     m_retained_until.erase(id);
     RememberRemoved(upstream.record, now);
-    changes.push_back({FleetChange::Kind::kRemoved, id, ""});
+    changes.push_back(
+        {FleetChange::Kind::kRemoved, id, gone ? "a later process has its address" : ""});
   }
   m_upstreams = std::move(next);
   return changes;
--- a/tests/fleet/fleet_test.cc
+++ b/tests/fleet/fleet_test.cc
@@ -48,6 +48,40 @@
   BOOST_TEST(fleet.Find("s1") != nullptr);
 }
 
+// Guards against requests to an entry that outlives its process, after a crash or in a copy of the
+// store, while the next process runs at its address under another ID.
+BOOST_AUTO_TEST_CASE(entry_does_not_outlive_the_next_process_at_its_address) {
+  Fleet fleet;
+  UpstreamRecord crashed = EngineRecordOf("e2", "a", "fast", LayerRange{0, 8});
+  crashed.started_ms = 10;
+  UpstreamRecord next = EngineRecordOf("e1", "a", "fast", std::nullopt);
+  next.address = crashed.address;
+  next.started_ms = 20;
+  fleet.Update({crashed}, false, kNow);
+  const auto changes = fleet.Update({next, crashed}, false, kNow + Milliseconds(500));
+  BOOST_TEST(changes.size() == 2U);
+  BOOST_TEST(fleet.Find("e2") == nullptr);
+  BOOST_REQUIRE(fleet.FindByAddress(crashed.address) != nullptr);
+  BOOST_TEST(*fleet.FindByAddress(crashed.address) == "e1");
+  BOOST_TEST(fleet.Update({next, crashed}, false, kNow + Milliseconds(1000)).empty());
+  // A copy that lacks the next process.
+  fleet.OnStoreRestored(Milliseconds(5000), kNow + Milliseconds(1500));
+  BOOST_TEST(fleet.Update({crashed}, false, kNow + Milliseconds(1500)).empty());
+  BOOST_TEST(fleet.Find("e2") == nullptr);
+  BOOST_TEST(fleet.Find("e1") != nullptr);
+}
+
+// Guards against an entry without a start time that displaces another one, or is displaced.
+BOOST_AUTO_TEST_CASE(entries_without_a_start_time_share_an_address) {
+  Fleet fleet;
+  const UpstreamRecord known = PlainRecord("s1", "a");
+  UpstreamRecord unknown = PlainRecord("s2", "a");
+  unknown.address = known.address;
+  unknown.started_ms = 0;
+  fleet.Update({known, unknown}, false, kNow);
+  BOOST_TEST(fleet.All().size() == 2U);
+}
+
 // Guards against an earlier process that counts as a restart, and layers that are given up again.
 BOOST_AUTO_TEST_CASE(older_entries_of_a_restored_store_do_not_replace_newer_ones) {
   Fleet fleet;
