Decode and log what upstreams state about leaving and about requests

They are decoded in platform/ and logged as upstream_leaving and upstream_closed; nothing acts on them yet.

Bad values state nothing: a leaving other than 1, fields that contradict one another, a time that is negative, zero, empty, a date or not finite. A longer time than ten minutes is cut off, so that a faulty upstream cannot shut itself out for long. What a 421 states is about another process at the address and does not count, limits and load included.

header_protocol has a test for each.

--- a/include/azuregw/forward/wire_protocol.h
+++ b/include/azuregw/forward/wire_protocol.h
@@ -47,6 +47,9 @@
   std::optional<int> load;    // Number of running and queued requests at the upstream.
   // Requests per second that the upstream accepts from all instances together; not stated: any.
   std::optional<double> rate_limit;
+  bool leaving = false;  // The upstream is about to exit.
+  // Time for which the upstream, which refused the request, wants none from this instance.
+  std::optional<Milliseconds> retry_after;
 };
 
 // Reads and writes the header fields of one platform.
--- a/src/forward/exchange_base.cc
+++ b/src/forward/exchange_base.cc
@@ -160,8 +160,19 @@
                            {target.data(), target.size()}, m_request.message.body());
 }
 
-void ExchangeBase::RecordRateLimit(const std::string& upstream, const UpstreamResponse& answer,
-                                   TimePoint sent_at) {
+void ExchangeBase::RecordStatements(const std::string& upstream, const UpstreamResponse& answer,
+                                    TimePoint sent_at) {
+  if (answer.leaving) {
+    m_context->log->Write("upstream_leaving", {{"upstream", upstream}, {"request_id", m_caller.id}},
+                          true);
+  }
+  if (answer.retry_after) {
+    m_context->log->Write("upstream_closed",
+                          {{"upstream", upstream},
+                           {"for_ms", answer.retry_after->count()},
+                           {"request_id", m_caller.id}},
+                          true);
+  }
   if (m_context->fleet->OnRateLimit(upstream, answer.rate_limit, sent_at, Now())) {
     m_context->log->Write("upstream_limit",
                           {{"upstream", upstream},
--- a/src/forward/exchange_base.h
+++ b/src/forward/exchange_base.h
@@ -34,9 +34,10 @@
   void StartDeadline();
   // Returns the identity of the request, which is the same when its caller sends it again.
   PartId RequestPart() const;
-  // Records the rate limit in an answer of `upstream` to a request that was sent at `sent_at`.
-  void RecordRateLimit(const std::string& upstream, const UpstreamResponse& answer,
-                       TimePoint sent_at);
+  // Records what `upstream` states about itself in an answer to a request that was sent at
+  // `sent_at`.
+  void RecordStatements(const std::string& upstream, const UpstreamResponse& answer,
+                        TimePoint sent_at);
   // Returns the caller's request with the header fields for an upstream and the current time left.
   HttpRequest ForwardedMessage(const std::string& upstream_id, gsl::span<const PathHop> path,
                                const std::optional<std::string>& resume_after) const;
--- a/src/forward/plain_exchange.cc
+++ b/src/forward/plain_exchange.cc
@@ -95,7 +95,7 @@
   void OnResponse(Attempt* attempt) {
     const UpstreamResponse answer = attempt->m_response_info;
     const int status = attempt->m_reply.status;
-    RecordRateLimit(attempt->m_id, answer, attempt->m_sent_at);
+    RecordStatements(attempt->m_id, answer, attempt->m_sent_at);
     if (answer.load) {
       m_context->fleet->OnReportedLoad(attempt->m_id, *answer.load, Now());
     }
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -132,7 +132,7 @@
   if (id.empty() ? m_call->Reused() : id != m_caller.id) {
     return false;
   }
-  RecordRateLimit(m_path.hops.front().id, m_response_info, m_attempt_started);
+  RecordStatements(m_path.hops.front().id, m_response_info, m_attempt_started);
   m_attempt_status = status;
   m_framed = head.count(boost::beast::http::field::transfer_encoding) > 0 ||
              head.count(boost::beast::http::field::content_length) > 0;
--- a/tests/platform/header_protocol_test.cc
+++ b/tests/platform/header_protocol_test.cc
@@ -50,6 +50,58 @@
   BOOST_TEST(!MakeHeaderProtocol()->ReadResponse(200, HttpFields()).rate_limit.has_value());
 }
 
+// Guards against a faulty upstream that shuts itself out with a text that states nothing.
+BOOST_AUTO_TEST_CASE(only_an_unequivocal_leaving_is_read) {
+  const auto leaving = [](const std::vector<std::string>& values) {
+    HttpFields fields;
+    for (const std::string& value : values) {
+      fields.insert("Server-Leaving", value);
+    }
+    return MakeHeaderProtocol()->ReadResponse(200, fields).leaving;
+  };
+  BOOST_TEST(leaving({"1"}));
+  BOOST_TEST(leaving({"1", "1"}));
+  BOOST_TEST(!leaving({}));
+  BOOST_TEST(!leaving({""}));
+  BOOST_TEST(!leaving({"0"}));
+  BOOST_TEST(!leaving({"true"}));
+  BOOST_TEST(!leaving({"1", "0"}));
+}
+
+BOOST_AUTO_TEST_CASE(retry_after_of_a_refusal_is_read_and_bounded) {
+  const auto retry_after = [](int status, const std::vector<std::string>& values) {
+    HttpFields fields;
+    for (const std::string& value : values) {
+      fields.insert("Retry-After", value);
+    }
+    return MakeHeaderProtocol()->ReadResponse(status, fields).retry_after;
+  };
+  BOOST_TEST((retry_after(503, {"2"}) == Milliseconds(2000)));
+  BOOST_TEST((retry_after(503, {"0.25"}) == Milliseconds(250)));
+  BOOST_TEST((retry_after(503, {"1e9"}) == Milliseconds(600000)));
+  BOOST_TEST(!retry_after(200, {"2"}).has_value());
+  for (const char* text :
+       {"", "-1", "0", "soon", "inf", "nan", "1 2", "Fri, 04 Dec 2026 23:00:00 GMT"}) {
+    BOOST_TEST(!retry_after(503, {text}).has_value(), text);
+  }
+  BOOST_TEST(!retry_after(503, {"1", "3"}).has_value());
+}
+
+// Guards against statements of the process that has taken over the address of an upstream.
+BOOST_AUTO_TEST_CASE(statements_of_another_process_at_the_address_do_not_count) {
+  HttpFields fields;
+  fields.set("Server-Leaving", "1");
+  fields.set("Server-Limit", "4");
+  fields.set("Retry-After", "2");
+  fields.set("X-Engine-Load", "3,0,8");
+  const UpstreamResponse answer = MakeHeaderProtocol()->ReadResponse(421, fields);
+  BOOST_TEST(answer.not_run);
+  BOOST_TEST(!answer.leaving);
+  BOOST_TEST(!answer.rate_limit.has_value());
+  BOOST_TEST(!answer.retry_after.has_value());
+  BOOST_TEST(!answer.load.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
