Reproduce requests to upstreams that leave or want none for a time

Four tests fail on this code: plain upstreams and engines that state that they leave get further requests (DRAIN), those that refuse with a time get requests within it (BUDGET), and where all of them do so, requests are sent all the same.

--- a/tests/support/fake_gateway.h
+++ b/tests/support/fake_gateway.h
@@ -51,6 +51,12 @@
     if (rate_limit) {
       head.set("Limit", std::to_string(*rate_limit));
     }
+    if (leaving) {
+      head.set("Leaving", "1");
+    }
+    if (retry_after) {
+      head.set("Retry-After-Ms", std::to_string(retry_after->count()));
+    }
     if (m_handler != nullptr && !m_handler->OnHead(head)) {
       foreign = true;
     }
@@ -82,10 +88,12 @@
 
   const HttpCallOptions options;
   const HttpRequest request;
-  std::string id{request["Id"]};     // Of the request, in the response; empty: none.
-  bool reused = false;               // The connection has served another call.
-  std::optional<double> rate_limit;  // Limit that the upstream states.
-  bool foreign = false;              // A head was taken for the response to another request.
+  std::string id{request["Id"]};            // Of the request, in the response; empty: none.
+  bool reused = false;                      // The connection has served another call.
+  std::optional<double> rate_limit;         // Limit that the upstream states.
+  bool leaving = false;                     // The upstream states that it leaves.
+  std::optional<Milliseconds> retry_after;  // Time for which the upstream wants no requests.
+  bool foreign = false;                     // A head was taken for the response to another request.
   bool framed = true;  // The response states its end; otherwise it ends with the connection.
 
  private:
@@ -171,6 +179,10 @@
     if (fields.count("Limit") > 0) {
       answer.rate_limit = std::stod(std::string(fields["Limit"]));
     }
+    answer.leaving = fields.count("Leaving") > 0;
+    if (fields.count("Retry-After-Ms") > 0) {
+      answer.retry_after = Milliseconds(std::stoi(std::string(fields["Retry-After-Ms"])));
+    }
     return answer;
   }
   std::string_view RequestIdHeader() const override { return "Id"; }
