Send nothing to upstreams that have stated that they leave

What callers would see: requests that are cut off or refused by an upstream which had said in an answer that it exits, before the list says so, or where the list comes back older and says that it is ready.

Cause: Server-Leaving was not read; only the list told of a leaving.

Change: UpstreamStatements is the record of what a process states about itself, beside its entry in the list. A leaving is final for the process, is kept while its entry is missing, and ends with the next process or after ten minutes. It is relayed to all instances with the load reports for three seconds, 15 bytes an upstream, with the start of the process, so that it cannot meet the next one. Paths, plain requests, the layout and the check of exits ask for both kinds of leaving in one place. Each change is logged as upstream_statement and counted.

Why it works: an answer is newer than the list, and whoever hears it knows which process said it, since others at the address answer 421.

--- a/include/azuregw/fleet/fleet.h
+++ b/include/azuregw/fleet/fleet.h
@@ -22,6 +22,7 @@
 #include "azuregw/base/clock.h"
 #include "azuregw/fleet/link_load.h"
 #include "azuregw/fleet/rate_share.h"
+#include "azuregw/fleet/upstream_statements.h"
 #include "azuregw/preset/preset.h"
 
 namespace azuregw {
@@ -89,13 +90,16 @@
   bool rate_limit_seen_here = false;  // The answer was received here, not at another instance.
   StartBucket start_bucket;           // Requests of this instance under `rate_limit`.
   bool pace_queried_here = false;  // `slowdown` was queried by this instance, not by another one.
+  UpstreamStatements statements;   // Of the process that `record` describes.
 
+  // Returns whether the upstream exits soon, as the list or the upstream itself states.
+  bool Leaving(TimePoint now) const { return record.draining || statements.Leaving(now); }
   // Returns whether new requests may be sent to the upstream.
   bool Usable(TimePoint now) const {
-    return !record.draining && now >= suspect_until && now >= full_until;
+    return !Leaving(now) && now >= suspect_until && now >= full_until;
   }
   // Returns whether the upstream responds, although it may be failing or short of memory.
-  bool Responds(TimePoint now) const { return !record.draining && now >= stopped_until; }
+  bool Responds(TimePoint now) const { return !Leaving(now) && now >= stopped_until; }
 };
 
 // Change of an upstream between two lists.
@@ -164,6 +168,16 @@
   void SetHealthReportListener(std::function<void()> listener) {
     m_on_health_report = std::move(listener);
   }
+  // Sets the callback that runs when a statement of an upstream changes what this instance knows.
+  void SetStatementListener(std::function<void(const StatementChange&)> listener) {
+    m_on_statement = std::move(listener);
+  }
+  // Records that `id` stated in an answer that it leaves.
+  void OnLeaving(const std::string& id, TimePoint now);
+  // Applies a statement that the process of `id` with `started_ms` made to another instance, valid
+  // for `remaining`.
+  void ApplyStatementReport(const std::string& id, int64_t started_ms, StatedFact fact,
+                            Milliseconds remaining, TimePoint now);
   // Records the rate limit in an answer of `id` to a request that was sent at `sent_at`. Returns
   // whether it changed. An answer without a limit ends one only if its request was sent after the
   // limit was last stated.
@@ -226,6 +240,7 @@
   struct RemovedProcess {
     int64_t started_ms = 0;
     TimePoint removed_at;
+    UpstreamStatements statements;
   };
 
   // Returns the latest start at each address in `records` and in the present list. Entries of
@@ -234,7 +249,10 @@
   // Replaces what `record` says of a process by what is known of it, if that is newer. Returns
   // false if the process is gone.
   bool Reconcile(UpstreamRecord* record) const;
-  void RememberRemoved(const UpstreamRecord& record, TimePoint now);
+  void RememberRemoved(const Upstream& upstream, TimePoint now);
+  // Adds a statement to the record of `upstream`, and notifies the listeners of a change.
+  void AddStatement(Upstream* upstream, StatedFact fact, TimePoint until, StatementSource source,
+                    TimePoint now);
 
   // Returns the requests per second that this instance may send to the upstream; nullopt: any.
   std::optional<double> StartRate(const Upstream& upstream, TimePoint now) const;
@@ -249,6 +267,7 @@
   LinkLoad m_links;
   FleetPosition m_position;
   std::function<void()> m_on_health_report = [] {};
+  std::function<void(const StatementChange&)> m_on_statement = [](const StatementChange&) {};
 };
 
 }  // namespace azuregw
--- a/include/azuregw/fleet/fleet_load_table.h
+++ b/include/azuregw/fleet/fleet_load_table.h
@@ -59,6 +59,14 @@
   Milliseconds age{0};
 };
 
+// Statement of the process of an upstream that started at `process`, valid for `remaining`.
+struct StatementReport {
+  UpstreamNumber upstream = 0;
+  int64_t process = 0;  // UpstreamRecord::started_ms.
+  StatedFact fact = StatedFact::kLeaving;
+  Milliseconds remaining{0};
+};
+
 // Tokens per second that cross a link between failure domains.
 struct LinkRateReport {
   LinkId link = 0;
@@ -73,6 +81,7 @@
   std::vector<LinkRateReport> links;
   std::vector<RateLimitReport> rate_limits;
   std::vector<BegunReport> begun;
+  std::vector<StatementReport> statements;
 };
 
 // Holds the latest load report of each instance and computes the totals.
--- /dev/null
+++ b/include/azuregw/fleet/upstream_statements.h
@@ -0,0 +1,77 @@
+// What the process of an upstream states about itself in its answers.
+//
+// Decision module: no I/O, single-threaded. A statement is heard here, in an answer, or by another
+// instance, which relays it with its load report. Merging two records does not depend on the order
+// in which the statements arrive, and a statement that arrives again changes nothing: the later end
+// of a fact counts. A record belongs to one process of an upstream and ends with it. Its owner
+// bounds the number of records by the list of upstreams.
+
+#ifndef AZUREGW_FLEET_UPSTREAM_STATEMENTS_H_
+#define AZUREGW_FLEET_UPSTREAM_STATEMENTS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "azuregw/base/clock.h"
+
+namespace azuregw {
+
+// Facts that upstreams state. The values are part of the wire format.
+enum class StatedFact : uint8_t {
+  kLeaving = 0,  // The process exits soon. It serves what it has; nothing revokes this.
+};
+
+// How an instance knows of a statement.
+enum class StatementSource : uint8_t {
+  kAnswer,    // From an answer to one of its own requests.
+  kInstance,  // From another instance.
+};
+
+// Names for logs and metrics.
+std::string_view StatedFactName(StatedFact fact);
+std::string_view StatementSourceName(StatementSource source);
+
+// A statement as one instance knows it.
+struct Statement {
+  TimePoint until;     // End of the fact; TimePoint() if it was never stated.
+  TimePoint heard_at;  // Arrival of the answer, or of the other instance's report.
+  StatementSource source = StatementSource::kInstance;
+};
+
+// Statement that an instance learned of, for logs and metrics.
+struct StatementChange {
+  std::string upstream;
+  StatedFact fact = StatedFact::kLeaving;
+  Statement statement;
+};
+
+// The statements of one process.
+class UpstreamStatements {
+ public:
+  // Time for which a process counts as leaving. It exits long before; the bound ends the effect of
+  // a false statement.
+  static constexpr Milliseconds kLeavingTtl{600000};
+  // Statements heard here are relayed for this long, after which all instances have them.
+  static constexpr Milliseconds kRelayTime{3000};
+
+  // Adds a statement that ends at `until`. Returns whether the fact did not hold before.
+  bool Add(StatedFact fact, TimePoint until, StatementSource source, TimePoint now);
+
+  // Returns whether the process has stated that it leaves.
+  bool Leaving(TimePoint now) const { return now < m_leaving.until; }
+
+  // Returns the time for which the fact still holds if this instance should relay it.
+  std::optional<Milliseconds> ToRelay(StatedFact fact, TimePoint now) const;
+
+  // Returns what is known of `fact`.
+  const Statement& Of(StatedFact fact) const;
+
+ private:
+  Statement m_leaving;
+};
+
+}  // namespace azuregw
+
+#endif  // AZUREGW_FLEET_UPSTREAM_STATEMENTS_H_
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -47,13 +47,13 @@
   return true;
 }
 
-void Fleet::RememberRemoved(const UpstreamRecord& record, TimePoint now) {
+void Fleet::RememberRemoved(const Upstream& upstream, TimePoint now) {
   for (auto removed = m_removed.begin(); removed != m_removed.end();) {
     const bool expired = now - removed->second.removed_at > kRemovedTtl;
     removed = expired ? m_removed.erase(removed) : std::next(removed);
   }
   if (m_removed.size() < kMaxRemoved) {
-    m_removed[record.id] = {record.started_ms, now};
+    m_removed[upstream.record.id] = {upstream.record.started_ms, now, upstream.statements};
   }
 }
 
@@ -91,6 +91,10 @@
     if (found == m_upstreams.end()) {
       changes.push_back({FleetChange::Kind::kAdded, record.id,
                          record.accelerator + " layers " + FormatLayers(record.layers)});
+      const auto removed = m_removed.find(record.id);
+      if (removed != m_removed.end() && removed->second.started_ms == record.started_ms) {
+        upstream.statements = removed->second.statements;
+      }
     } else {
       upstream = std::move(found->second);
       const UpstreamRecord& old = upstream.record;
@@ -102,6 +106,7 @@
         upstream.failures = 0;
         upstream.suspicions = 0;
         upstream.rate_limit.reset();
+        upstream.statements = UpstreamStatements();
       }
       if (old.draining != record.draining) {
         changes.push_back(
@@ -131,7 +136,7 @@
       continue;
     }
     m_retained_until.erase(id);
-    RememberRemoved(upstream.record, now);
+    RememberRemoved(upstream, now);
     changes.push_back(
         {FleetChange::Kind::kRemoved, id, gone ? "a later process has its address" : ""});
   }
@@ -204,6 +209,34 @@
   }
 }
 
+void Fleet::AddStatement(Upstream* upstream, StatedFact fact, TimePoint until,
+                         StatementSource source, TimePoint now) {
+  if (!upstream->statements.Add(fact, until, source, now)) {
+    return;
+  }
+  m_on_statement({upstream->record.id, fact, upstream->statements.Of(fact)});
+  if (source == StatementSource::kAnswer) {
+    m_on_health_report();
+  }
+}
+
+void Fleet::OnLeaving(const std::string& id, TimePoint now) {
+  if (Upstream* const upstream = Find(id)) {
+    AddStatement(upstream, StatedFact::kLeaving, now + UpstreamStatements::kLeavingTtl,
+                 StatementSource::kAnswer, now);
+  }
+}
+
+void Fleet::ApplyStatementReport(const std::string& id, int64_t started_ms, StatedFact fact,
+                                 Milliseconds remaining, TimePoint now) {
+  Upstream* const upstream = Find(id);
+  if (upstream == nullptr || upstream->record.started_ms != started_ms) {
+    return;
+  }
+  AddStatement(upstream, fact, now + std::min(remaining, UpstreamStatements::kLeavingTtl),
+               StatementSource::kInstance, now);
+}
+
 bool Fleet::OnRateLimit(const std::string& id, std::optional<double> limit, TimePoint sent_at,
                         TimePoint now) {
   Upstream* const upstream = Find(id);
--- a/src/fleet/fleet_load_table.cc
+++ b/src/fleet/fleet_load_table.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 
@@ -48,6 +49,7 @@
   std::map<LinkId, double> links;
   std::map<UpstreamNumber, RateLimitReport> rate_limits;
   std::map<UpstreamNumber, int> begun;
+  std::map<std::tuple<UpstreamNumber, int64_t, StatedFact>, StatementReport> statements;
   for (auto entry = m_reports.begin(); entry != m_reports.end();) {
     const auto age = std::chrono::duration_cast<Milliseconds>(now - entry->second.received);
     if (age > kReportTtl) {
@@ -75,6 +77,11 @@
     for (const BegunReport& entry_begun : report.begun) {
       begun[entry_begun.upstream] += entry_begun.streams;
     }
+    for (const StatementReport& statement : report.statements) {
+      KeepLongest(&statements,
+                  std::make_tuple(statement.upstream, statement.process, statement.fact), statement,
+                  age);
+    }
     for (RateLimitReport limit : report.rate_limits) {
       limit.age += age;
       const auto newest = rate_limits.emplace(limit.upstream, limit).first;
@@ -103,6 +110,9 @@
   for (const auto& [upstream, streams] : begun) {
     totals.begun.push_back({upstream, streams});
   }
+  for (const auto& [key, statement] : statements) {
+    totals.statements.push_back(statement);
+  }
   return totals;
 }
 
@@ -117,7 +127,11 @@
     const bool active = upstream.own_load.requests > 0 || idle < kMaxReportedIdle;
     const auto limit_age = std::chrono::duration_cast<Milliseconds>(now - upstream.rate_limit_at);
     const bool limit = upstream.rate_limit_seen_here && limit_age < kMaxReportedLimitAge;
-    if (!active && !suspect && !full && !pace && !limit) {
+    // The list relays what it states itself.
+    const auto leaving = upstream.record.draining
+                             ? std::nullopt
+                             : upstream.statements.ToRelay(StatedFact::kLeaving, now);
+    if (!active && !suspect && !full && !pace && !limit && !leaving) {
       continue;
     }
     const std::optional<UpstreamNumber> number = numbers.NumberOf(id);
@@ -147,6 +161,10 @@
     if (limit) {
       report.rate_limits.push_back({*number, upstream.rate_limit, limit_age});
     }
+    if (leaving) {
+      report.statements.push_back(
+          {*number, upstream.record.started_ms, StatedFact::kLeaving, *leaving});
+    }
   }
   for (const auto& [link, rate] : fleet.Links().OwnRates(now)) {
     report.links.push_back({link, rate});
@@ -206,6 +224,11 @@
       fleet->ApplyRateLimitReport(*id, limit.per_s, now - limit.age, now);
     }
   }
+  for (const StatementReport& statement : totals.statements) {
+    if (const std::string* const id = numbers.IdOf(statement.upstream)) {
+      fleet->ApplyStatementReport(*id, statement.process, statement.fact, statement.remaining, now);
+    }
+  }
   std::unordered_map<LinkId, double> other_rates;
   for (const LinkRateReport& link : totals.links) {
     other_rates[link.link] = link.tokens_per_s;
--- a/src/fleet/upstream_picker.cc
+++ b/src/fleet/upstream_picker.cc
@@ -28,8 +28,8 @@
   double best_score = std::numeric_limits<double>::infinity();
   for (const auto& [id, upstream] : fleet.All()) {
     const UpstreamRecord& record = upstream.record;
-    if (record.service != query.service || record.draining || query.excluded.count(id) > 0 ||
-        !fleet.MayStart(upstream, query.now)) {
+    if (record.service != query.service || upstream.Leaving(query.now) ||
+        query.excluded.count(id) > 0 || !fleet.MayStart(upstream, query.now)) {
       continue;
     }
     int running = upstream.own_load.requests + upstream.others_load.requests;
--- a/src/forward/engine_exit_checker.cc
+++ b/src/forward/engine_exit_checker.cc
@@ -14,11 +14,11 @@
 
 void EngineExitChecker::Check(const std::string& upstream, Callback done) {
   const Upstream* const entry = m_fleet->Find(upstream);
-  if (entry == nullptr || entry->record.draining) {
+  const TimePoint now = m_loop->Now();
+  if (entry == nullptr || entry->Leaving(now)) {
     done(false, 0);  // Leaves as announced.
     return;
   }
-  const TimePoint now = m_loop->Now();
   const int64_t started_ms = entry->record.started_ms;
   for (auto result = m_results.begin(); result != m_results.end();) {
     result =
--- a/src/forward/exchange_base.cc
+++ b/src/forward/exchange_base.cc
@@ -163,8 +163,7 @@
 void ExchangeBase::RecordStatements(const std::string& upstream, const UpstreamResponse& answer,
                                     TimePoint sent_at) {
   if (answer.leaving) {
-    m_context->log->Write("upstream_leaving", {{"upstream", upstream}, {"request_id", m_caller.id}},
-                          true);
+    m_context->fleet->OnLeaving(upstream, Now());
   }
   if (answer.retry_after) {
     m_context->log->Write("upstream_closed",
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -149,6 +149,7 @@
       m_queue.StartEligible(m_loop->Now());
     });
     m_fleet.SetHealthReportListener([this] { m_exchange->OnHealthReport(); });
+    m_fleet.SetStatementListener([this](const StatementChange& change) { OnStatement(change); });
     m_quarantine.SetListener([this] { m_exchange->OnHealthReport(); });
     m_lister.SetHeartbeat(m_context.settings.heartbeat);
     m_lister.SetLeavingBound(m_context.settings.leaving_bound);
@@ -189,6 +190,21 @@
                  true);
   }
 
+  void OnStatement(const StatementChange& change) {
+    const std::string fact(StatedFactName(change.fact));
+    const std::string source(StatementSourceName(change.statement.source));
+    const auto left =
+        std::chrono::duration_cast<Milliseconds>(change.statement.until - m_loop->Now());
+    m_log->Write("upstream_statement",
+                 {{"upstream", change.upstream},
+                  {"fact", fact},
+                  {"source", source},
+                  {"for_ms", left.count()}},
+                 true);
+    m_metrics->Add("azuregw_upstream_statements_total",
+                   "fact=\"" + fact + "\",source=\"" + source + "\"", 1);
+  }
+
   int ReportStartFailure(const Error& error) {
     m_log->Write("start_failed",
                  {{"code", static_cast<int>(error.code)}, {"reason", error.message}}, true);
--- a/src/sync/sync_frames.cc
+++ b/src/sync/sync_frames.cc
@@ -43,6 +43,11 @@
     table->begun.emplace_back(begun.upstream,
                               static_cast<uint16_t>(std::min(begun.streams, int{UINT16_MAX})));
   }
+  for (const StatementReport& statement : load.statements) {
+    table->statements.emplace_back(
+        statement.process, static_cast<uint32_t>(statement.remaining.count()), statement.upstream,
+        static_cast<wire::StatedFact>(statement.fact));
+  }
   for (const RateLimitReport& limit : load.rate_limits) {
     table->limits.emplace_back(limit.upstream, static_cast<uint32_t>(limit.age.count()),
                                static_cast<float>(limit.per_s.value_or(kNoRateLimit)));
@@ -73,6 +78,14 @@
   for (const wire::BegunEntry& entry : table.begun) {
     load.begun.push_back({entry.number(), entry.streams()});
   }
+  for (const wire::StatementEntry& entry : table.statements) {
+    // Later builds may relay facts that this one does not know.
+    if (entry.fact() <= wire::StatedFact::MAX) {
+      load.statements.push_back({entry.number(), entry.process(),
+                                 static_cast<StatedFact>(entry.fact()),
+                                 Milliseconds(entry.remaining_ms())});
+    }
+  }
   for (const wire::LimitEntry& entry : table.limits) {
     load.rate_limits.push_back(
         {entry.number(), entry.per_s() < 0 ? std::nullopt : std::optional<double>(entry.per_s()),
--- a/tests/sync/sync_sessions_test.cc
+++ b/tests/sync/sync_sessions_test.cc
@@ -424,7 +424,8 @@
                  {{7, 2, Milliseconds(9), 3}},
                  {{LinkBetween("a", "b"), 1500}},
                  {{7, 15.5, Milliseconds(80)}, {8, std::nullopt, Milliseconds(2)}},
-                 {{7, 12}}};
+                 {{7, 12}},
+                 {{7, 1785821099455, StatedFact::kLeaving, Milliseconds(600000)}}};
   const SharedFrame second = EncodeSyncMessage(totals);
   const auto decoded_totals =
       DecodeSyncMessage({second->data() + kFrameHeaderBytes, second->size() - kFrameHeaderBytes});
@@ -440,6 +441,11 @@
   BOOST_TEST(!load.rate_limits[1].per_s.has_value());
   BOOST_REQUIRE(load.begun.size() == 1U);
   BOOST_TEST(load.begun[0].streams == 12);
+  BOOST_REQUIRE(load.statements.size() == 1U);
+  BOOST_TEST(load.statements[0].upstream == 7);
+  BOOST_TEST(load.statements[0].process == 1785821099455);
+  BOOST_TEST((load.statements[0].fact == StatedFact::kLeaving));
+  BOOST_TEST((load.statements[0].remaining == Milliseconds(600000)));
   BOOST_TEST(load.loads[0].load.token_layers == 1500);
   BOOST_TEST(load.loads[0].load.requests == 2);
   BOOST_TEST((load.loads[0].idle == Milliseconds(40)));
