Send no requests to upstreams for the time that they state

What callers would see: refusals after requests that were sent to an upstream which had just said that it wants none, and a time to come back that had nothing to do with what the upstreams said.

Cause: Retry-After in a refusal was not read; a plain upstream that refused was tried again by the next request, and an engine was suspected for a second.

Change: the time is a second fact in the record of a process. It closes the upstream for the instance that was told, for all kinds of requests, probes of the pace and orders; a silent engine is probed once in it. The others, which it was not said to, prefer other upstreams, as for one that fails: whoever is turned away first spares them the same, and no upstream is lost to the fleet because of one instance. Where all upstreams, or all holders of a layer, are closed, callers are refused at once with the time until they are not.

What was weighed: that all instances wait. It would take an upstream with a limit for each instance from the whole fleet, for up to ten minutes.

--- a/include/azuregw/fleet/fleet.h
+++ b/include/azuregw/fleet/fleet.h
@@ -94,12 +94,17 @@
 
   // Returns whether the upstream exits soon, as the list or the upstream itself states.
   bool Leaving(TimePoint now) const { return record.draining || statements.Leaving(now); }
-  // Returns whether new requests may be sent to the upstream.
-  bool Usable(TimePoint now) const {
-    return !Leaving(now) && now >= suspect_until && now >= full_until;
+  // Returns whether the upstream wants new requests from this instance.
+  bool Accepts(TimePoint now) const { return !Leaving(now) && !statements.ClosedHere(now); }
+  // Returns whether requests should be sent elsewhere if possible, since the upstream fails them,
+  // or turns those of other instances away.
+  bool Doubtful(TimePoint now) const {
+    return now < suspect_until || statements.ClosedElsewhere(now);
   }
+  // Returns whether new requests may be sent to the upstream.
+  bool Usable(TimePoint now) const { return Accepts(now) && !Doubtful(now) && now >= full_until; }
   // Returns whether the upstream responds, although it may be failing or short of memory.
-  bool Responds(TimePoint now) const { return !Leaving(now) && now >= stopped_until; }
+  bool Responds(TimePoint now) const { return Accepts(now) && now >= stopped_until; }
 };
 
 // Change of an upstream between two lists.
@@ -174,6 +179,9 @@
   }
   // Records that `id` stated in an answer that it leaves.
   void OnLeaving(const std::string& id, TimePoint now);
+  // Records that `id` stated in a refusal that it wants no requests from this instance for
+  // `duration`.
+  void OnClosed(const std::string& id, Milliseconds duration, TimePoint now);
   // Applies a statement that the process of `id` with `started_ms` made to another instance, valid
   // for `remaining`.
   void ApplyStatementReport(const std::string& id, int64_t started_ms, StatedFact fact,
@@ -192,9 +200,12 @@
   bool MayStart(const Upstream& upstream, TimePoint now) const;
   // Counts a request to `id` under its rate limit.
   void OnStart(const std::string& id, TimePoint now);
-  // Returns the time until a limited upstream of `service` allows a request of this instance; 0 if
-  // none is limited.
+  // Returns the time until the upstreams of `service` allow a request of this instance, as far as
+  // they state it: until a limited one does, and until those that have not closed suffice.
   Milliseconds StartDelay(std::string_view service, TimePoint now) const;
+  // Returns the time until one upstream of `service`, or holders of all its layers, want requests
+  // from this instance again; 0 if they do.
+  Milliseconds OpenDelay(std::string_view service, TimePoint now) const;
   // Adds a request with `token_layers` of KV memory to this instance's load at `id`.
   void Reserve(const std::string& id, double token_layers);
   // Removes a request that Reserve() added.
@@ -254,6 +265,9 @@
   void AddStatement(Upstream* upstream, StatedFact fact, TimePoint until, StatementSource source,
                     TimePoint now);
 
+  // Returns the time until a limited upstream of `service` allows a request of this instance; 0 if
+  // none is limited.
+  Milliseconds RateDelay(std::string_view service, TimePoint now) const;
   // Returns the requests per second that this instance may send to the upstream; nullopt: any.
   std::optional<double> StartRate(const Upstream& upstream, TimePoint now) const;
 
--- a/include/azuregw/fleet/upstream_statements.h
+++ b/include/azuregw/fleet/upstream_statements.h
@@ -21,6 +21,9 @@
 // Facts that upstreams state. The values are part of the wire format.
 enum class StatedFact : uint8_t {
   kLeaving = 0,  // The process exits soon. It serves what it has; nothing revokes this.
+  // The process, which refused a request, wants none for some time: from this instance if it said
+  // so in an answer. What it said to other instances is a reason to prefer other upstreams.
+  kClosed = 1,
 };
 
 // How an instance knows of a statement.
@@ -53,6 +56,9 @@
   // Time for which a process counts as leaving. It exits long before; the bound ends the effect of
   // a false statement.
   static constexpr Milliseconds kLeavingTtl{600000};
+  // Longest time for which one refusal closes an upstream, so that a faulty one cannot shut itself
+  // out for long.
+  static constexpr Milliseconds kMaxClosedTime{600000};
   // Statements heard here are relayed for this long, after which all instances have them.
   static constexpr Milliseconds kRelayTime{3000};
 
@@ -62,14 +68,23 @@
   // Returns whether the process has stated that it leaves.
   bool Leaving(TimePoint now) const { return now < m_leaving.until; }
 
+  // Returns whether the process wants no requests from this instance.
+  bool ClosedHere(TimePoint now) const { return now < m_closed_here.until; }
+  // Returns whether the process has stated to another instance that it wants no requests from it.
+  bool ClosedElsewhere(TimePoint now) const { return now < m_closed_elsewhere.until; }
+  // Returns the time until this instance may send requests again; 0 if it may.
+  Milliseconds TimeToOpen(TimePoint now) const;
+
   // Returns the time for which the fact still holds if this instance should relay it.
   std::optional<Milliseconds> ToRelay(StatedFact fact, TimePoint now) const;
 
-  // Returns what is known of `fact`.
-  const Statement& Of(StatedFact fact) const;
+  // Returns what is known of `fact` from `source`; a leaving is the same from both.
+  const Statement& Of(StatedFact fact, StatementSource source) const;
 
  private:
   Statement m_leaving;
+  Statement m_closed_here;
+  Statement m_closed_elsewhere;
 };
 
 }  // namespace azuregw
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -3,6 +3,7 @@
 #include "azuregw/fleet/fleet.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace azuregw {
@@ -214,7 +215,7 @@
   if (!upstream->statements.Add(fact, until, source, now)) {
     return;
   }
-  m_on_statement({upstream->record.id, fact, upstream->statements.Of(fact)});
+  m_on_statement({upstream->record.id, fact, upstream->statements.Of(fact, source)});
   if (source == StatementSource::kAnswer) {
     m_on_health_report();
   }
@@ -227,14 +228,24 @@
   }
 }
 
+void Fleet::OnClosed(const std::string& id, Milliseconds duration, TimePoint now) {
+  if (Upstream* const upstream = Find(id)) {
+    AddStatement(upstream, StatedFact::kClosed,
+                 now + std::min(duration, UpstreamStatements::kMaxClosedTime),
+                 StatementSource::kAnswer, now);
+  }
+}
+
 void Fleet::ApplyStatementReport(const std::string& id, int64_t started_ms, StatedFact fact,
                                  Milliseconds remaining, TimePoint now) {
   Upstream* const upstream = Find(id);
-  if (upstream == nullptr || upstream->record.started_ms != started_ms) {
+  if (upstream == nullptr || upstream->record.started_ms != started_ms ||
+      (fact == StatedFact::kClosed && upstream->statements.ClosedHere(now))) {
     return;
   }
-  AddStatement(upstream, fact, now + std::min(remaining, UpstreamStatements::kLeavingTtl),
-               StatementSource::kInstance, now);
+  const Milliseconds longest = fact == StatedFact::kLeaving ? UpstreamStatements::kLeavingTtl
+                                                            : UpstreamStatements::kMaxClosedTime;
+  AddStatement(upstream, fact, now + std::min(remaining, longest), StatementSource::kInstance, now);
 }
 
 bool Fleet::OnRateLimit(const std::string& id, std::optional<double> limit, TimePoint sent_at,
@@ -308,6 +319,47 @@
 }
 
 Milliseconds Fleet::StartDelay(std::string_view service, TimePoint now) const {
+  return std::max(RateDelay(service, now), OpenDelay(service, now));
+}
+
+Milliseconds Fleet::OpenDelay(std::string_view service, TimePoint now) const {
+  struct Holder {
+    LayerRange layers;
+    Milliseconds delay;
+  };
+  std::vector<Holder> holders;
+  std::set<Milliseconds> delays;
+  for (const auto& [id, upstream] : m_upstreams) {
+    const UpstreamRecord& record = upstream.record;
+    const bool empty_engine = !record.accelerator.empty() && !record.layers;
+    if (record.service != service || empty_engine || upstream.Leaving(now)) {
+      continue;
+    }
+    const Milliseconds delay = upstream.statements.TimeToOpen(now);
+    delays.insert(delay);
+    // A plain upstream serves alone, like one that holds the only layer.
+    holders.push_back({record.layers.value_or(LayerRange{0, 1}), delay});
+  }
+  if (delays.empty() || *delays.rbegin() == Milliseconds(0)) {
+    return Milliseconds(0);
+  }
+  std::sort(holders.begin(), holders.end(),
+            [](const Holder& a, const Holder& b) { return a.layers.first < b.layers.first; });
+  const auto covered = [&holders](Milliseconds delay) {
+    int end = 0;
+    for (const Holder& holder : holders) {
+      if (holder.delay <= delay && holder.layers.first <= end) {
+        end = std::max(end, holder.layers.last);
+      }
+    }
+    return end;
+  };
+  const int all = covered(*delays.rbegin());
+  return *std::find_if(delays.begin(), delays.end(),
+                       [&](Milliseconds delay) { return covered(delay) >= all; });
+}
+
+Milliseconds Fleet::RateDelay(std::string_view service, TimePoint now) const {
   Milliseconds least = Milliseconds::max();
   for (const auto& [id, upstream] : m_upstreams) {
     const std::optional<double> rate =
--- a/src/fleet/fleet_load_table.cc
+++ b/src/fleet/fleet_load_table.cc
@@ -131,7 +131,8 @@
     const auto leaving = upstream.record.draining
                              ? std::nullopt
                              : upstream.statements.ToRelay(StatedFact::kLeaving, now);
-    if (!active && !suspect && !full && !pace && !limit && !leaving) {
+    const auto closed = upstream.statements.ToRelay(StatedFact::kClosed, now);
+    if (!active && !suspect && !full && !pace && !limit && !leaving && !closed) {
       continue;
     }
     const std::optional<UpstreamNumber> number = numbers.NumberOf(id);
@@ -165,6 +166,10 @@
       report.statements.push_back(
           {*number, upstream.record.started_ms, StatedFact::kLeaving, *leaving});
     }
+    if (closed) {
+      report.statements.push_back(
+          {*number, upstream.record.started_ms, StatedFact::kClosed, *closed});
+    }
   }
   for (const auto& [link, rate] : fleet.Links().OwnRates(now)) {
     report.links.push_back({link, rate});
--- a/src/fleet/path_selector.cc
+++ b/src/fleet/path_selector.cc
@@ -71,8 +71,7 @@
 // Returns whether the path may contain an engine. With `ignore_load`, engines that are short of
 // memory count as well, because they will have some again.
 bool MayUse(const Upstream& upstream, const PathQuery& query, bool ignore_load) {
-  return upstream.Responds(query.now) &&
-         (query.allow_suspects || query.now >= upstream.suspect_until) &&
+  return upstream.Responds(query.now) && (query.allow_suspects || !upstream.Doubtful(query.now)) &&
          (ignore_load || query.now >= upstream.full_until);
 }
 
--- a/src/fleet/upstream_picker.cc
+++ b/src/fleet/upstream_picker.cc
@@ -28,7 +28,7 @@
   double best_score = std::numeric_limits<double>::infinity();
   for (const auto& [id, upstream] : fleet.All()) {
     const UpstreamRecord& record = upstream.record;
-    if (record.service != query.service || upstream.Leaving(query.now) ||
+    if (record.service != query.service || !upstream.Accepts(query.now) ||
         query.excluded.count(id) > 0 || !fleet.MayStart(upstream, query.now)) {
       continue;
     }
@@ -40,7 +40,7 @@
     score += record.failure_domain == query.failure_domain ? 0 : kCrossDomainPenalty;
     score += kFailurePenalty * upstream.failures;
     score += record.warmup_left_ms > 0 ? kWarmupPenalty : 0;
-    score += query.now < upstream.suspect_until ? kSuspectPenalty : 0;
+    score += upstream.Doubtful(query.now) ? kSuspectPenalty : 0;
     score += kScoreJitter * random->Unit();
     if (score < best_score) {
       best = id;
--- a/src/forward/engine_health_checker.cc
+++ b/src/forward/engine_health_checker.cc
@@ -50,7 +50,9 @@
     return;
   }
   TimePoint& last_probe = m_last_silence_probe[id];
-  if (now - last_probe < kSilenceProbeInterval) {
+  const Statement& closed = upstream->statements.Of(StatedFact::kClosed, StatementSource::kAnswer);
+  const bool probed_while_closed = now < closed.until && last_probe >= closed.heard_at;
+  if (now - last_probe < kSilenceProbeInterval || probed_while_closed) {
     return;
   }
   last_probe = now;
@@ -71,7 +73,7 @@
 
 void EngineHealthChecker::ProbePace(const std::string& id, TimePoint now) {
   const Upstream* const upstream = m_fleet->Find(id);
-  if (upstream == nullptr || now < upstream->slowdown_until) {
+  if (upstream == nullptr || now < upstream->slowdown_until || !upstream->Accepts(now)) {
     return;
   }
   TimePoint& last_probe = m_last_pace_probe[id];
--- a/src/forward/exchange_base.cc
+++ b/src/forward/exchange_base.cc
@@ -166,11 +166,7 @@
     m_context->fleet->OnLeaving(upstream, Now());
   }
   if (answer.retry_after) {
-    m_context->log->Write("upstream_closed",
-                          {{"upstream", upstream},
-                           {"for_ms", answer.retry_after->count()},
-                           {"request_id", m_caller.id}},
-                          true);
+    m_context->fleet->OnClosed(upstream, *answer.retry_after, Now());
   }
   if (m_context->fleet->OnRateLimit(upstream, answer.rate_limit, sent_at, Now())) {
     m_context->log->Write("upstream_limit",
--- a/src/forward/plain_exchange.cc
+++ b/src/forward/plain_exchange.cc
@@ -75,7 +75,7 @@
     if (!StartNextAttempt()) {
       const bool limited = m_context->fleet->StartDelay(m_service, Now()).count() > 0;
       Refuse(limited ? ResultCode::kOverloaded : ResultCode::kNoChain,
-             limited ? "the upstreams accept no more requests per second"
+             limited ? "the upstreams accept no further requests at present"
                      : "the service has no upstream",
              RetryAfterTime());
     }
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -46,6 +46,8 @@
 constexpr Milliseconds kMinTimeToRetry{300};
 // Longest time for which a broken stream waits for a path with memory.
 constexpr Milliseconds kMaxResumeWait{1200};
+// Jitter of the time to come back when engines want requests again, as a share of it.
+constexpr double kOpenDelayJitter = 0.1;
 // Limit of an error response that is buffered for the caller.
 constexpr size_t kMaxErrorBodyBytes = size_t{1} << 20;
 // Limit of one event of a stream; usual ones take a few hundred bytes.
@@ -396,7 +398,9 @@
     }
     LogAttempt("not_run", reason + " from " + faulty_engine);
     const Upstream* const upstream = m_context->fleet->Find(faulty_engine);
-    if (upstream != nullptr && Now() - upstream->last_progress < kRecentProgressWindow) {
+    if (m_response_info.retry_after && faulty_engine == first) {
+      // The engine has stated itself for how long it wants no requests.
+    } else if (upstream != nullptr && Now() - upstream->last_progress < kRecentProgressWindow) {
       // The engine is healthy but short of memory or giving up layers; its streams can continue.
       m_excluded_engines.insert(faulty_engine);
       m_context->fleet->MarkFull(faulty_engine, kFullDuration, Now());
@@ -562,12 +566,20 @@
 
 void StreamExchange::RefuseForLoad() {
   const bool no_cover = m_path_error == PathError::kLayersNotCovered;
-  const WaitInputs inputs = CurrentWaitInputs();
   Refuse(no_cover ? ResultCode::kNoChain : ResultCode::kOverloaded,
          no_cover ? "the usable engines do not hold all layers"
                   : "no path has capacity for the request",
-         std::max(RetryAfter(inputs, m_context->random->Unit()),
-                  m_context->fleet->StartDelay(m_service, Now())));
+         RetryAfterTime());
+}
+
+Milliseconds StreamExchange::RetryAfterTime() const {
+  const Milliseconds open = m_context->fleet->OpenDelay(m_service, Now());
+  if (open.count() > 0) {
+    const double spread = 1 + kOpenDelayJitter * m_context->random->Unit();
+    return Milliseconds(static_cast<int64_t>(spread * static_cast<double>(open.count())));
+  }
+  return std::max(RetryAfter(CurrentWaitInputs(), m_context->random->Unit()),
+                  m_context->fleet->StartDelay(m_service, Now()));
 }
 
 void StreamExchange::GiveUp(const std::string& reason) {
@@ -580,8 +592,7 @@
   } else if (m_sends > 0) {
     Fail(ResultCode::kUpstreamProtocol, reason);
   } else {
-    Refuse(ResultCode::kOverloaded, reason,
-           RetryAfter(CurrentWaitInputs(), m_context->random->Unit()));
+    Refuse(ResultCode::kOverloaded, reason, RetryAfterTime());
   }
 }
 
--- a/src/forward/stream_exchange.h
+++ b/src/forward/stream_exchange.h
@@ -128,6 +128,9 @@
 
   void RefuseForLoad();
 
+  // Returns when a refused caller should come back.
+  Milliseconds RetryAfterTime() const;
+
   // Ends the exchange without a complete response.
   void GiveUp(const std::string& reason);
 
--- a/src/placement/layout_controller.cc
+++ b/src/placement/layout_controller.cc
@@ -95,6 +95,9 @@
     if (found != m_orders.end() && (found->second.in_progress || now < found->second.until)) {
       continue;
     }
+    if (!m_fleet->Find(change.id)->Accepts(now)) {
+      continue;
+    }
     const double share = static_cast<double>(change.layers.last - change.layers.first) /
                          static_cast<double>(profile.layers);
     const auto load_time = Milliseconds(static_cast<int64_t>(1000 * share * profile.weight_load_s));
