Play statements of upstreams, and a request that crashes them, in the soak

The stand-in upstreams leave with the header, with their list entry behind it or without, and turn requests away with a time. What each asks of the instance that it answers is one kind of quota: at most so many requests between two times after its answer. It is judged at the upstream, by when the caller sent the request for a leaving, and is excused by a restart or a pause of the instance, for refusals by a disturbed link to the store, too.

--- a/tests/fakes/platform_upstreams.cc
+++ b/tests/fakes/platform_upstreams.cc
@@ -23,6 +23,10 @@
 // Work that comes later than this after an upstream has said that it leaves is counted. The store
 // knows it at once, and the instances hear of it within 2 s.
 constexpr Milliseconds kLeavingKnown{2500};
+// Users' bound of the answers that state a leaving, and the time that a refusal states.
+constexpr Quota kLeavingQuota{Milliseconds(2000), Milliseconds(3600000), 0};
+constexpr Quota kRefusalQuota{Milliseconds(500), Milliseconds(1500), 2};
+constexpr char kRefusalRetryAfter[] = "1.5";
 constexpr double kLayerMb = 1000;
 
 std::string Field(const StandInRequest& request, const char* name) {
@@ -80,7 +84,7 @@
                 {"zone", m_spec.failure_domain},
                 {"version", 1},
                 {"slots", m_spec.slots},
-                {"state", m_leaving ? "draining" : "ready"},
+                {"state", m_leaving && m_leaving_listed ? "draining" : "ready"},
                 {"warmupLeftMs", 0},
                 {"sequence", m_sequence},
                 {"born", m_started_ms}};
@@ -105,8 +109,18 @@
       m_loop->After(kHeartbeat * 3, [this] { m_store->Remove("servers/" + m_spec.id); }));
 }
 
-void PlatformUpstream::Leave(Milliseconds after) {
+void PlatformUpstream::CrashUnder() {
+  ++m_journal->bad_part_crashes;
+  m_journal->on_bad_part_crash();
+  m_timers.push_back(m_loop->After(Milliseconds(0), [this] {
+    Crash();
+    m_timers.push_back(m_loop->After(kCrashDowntime, [this] { Start(); }));
+  }));
+}
+
+void PlatformUpstream::Leave(Milliseconds after, bool listed) {
   m_leaving = true;
+  m_leaving_listed = listed;
   m_leaving_since = m_loop->Now();
   Register();
   m_timers.push_back(m_loop->After(after, [this] { Crash(); }));
@@ -133,12 +147,18 @@
                  "");
     return;
   }
-  if (m_leaving && m_loop->Now() - m_leaving_since > kLeavingKnown) {
+  m_journal->on_arrival(Process(), id);
+  if (m_leaving && m_leaving_listed && m_loop->Now() - m_leaving_since > kLeavingKnown) {
     ++m_late_work;
   }
   switch (m_trouble) {
     case UpstreamTrouble::kRefuses:
-      reply->Whole(503, {{"X-Request-Id", id}, {"X-Not-Executed", "1"}, {"At-Server", Address()}},
+      m_journal->on_quota(Process(), id, kRefusalQuota);
+      reply->Whole(503,
+                   {{"X-Request-Id", id},
+                    {"X-Not-Executed", "1"},
+                    {"At-Server", Address()},
+                    {"Retry-After", kRefusalRetryAfter}},
                    "");
       return;
     case UpstreamTrouble::kCuts:
@@ -155,7 +175,12 @@
 }
 
 StandInFields PlatformUpstream::Sealed(const std::string& id) const {
-  return {{"X-Request-Id", id}, {"X-Response-Seal", "seal-" + m_spec.id}};
+  StandInFields fields = {{"X-Request-Id", id}, {"X-Response-Seal", "seal-" + m_spec.id}};
+  if (m_leaving) {
+    fields["Server-Leaving"] = "1";
+    m_journal->on_quota(Process(), id, kLeavingQuota);
+  }
+  return fields;
 }
 
 void PlatformUpstream::Serve(const StandInRequest& request,
@@ -166,6 +191,11 @@
   }
   const std::string id = Field(request, "X-Request-Id");
   ++m_journal->runs[id];
+  if (request.body() == kBadBody) {
+    m_journal->on_bad_part(id);
+    CrashUnder();
+    return;
+  }
   m_timers.push_back(m_loop->After(kPlainWork, [this, id, body = request.body(), reply] {
     StandInFields fields = Sealed(id);
     fields["X-Engine-Load"] = "1,0," + std::to_string(m_spec.slots);
@@ -228,12 +258,7 @@
       stream->reply->Cut();
     }
   } else if (open && stream->bad_part) {
-    ++m_journal->bad_part_crashes;
-    m_journal->on_bad_part_crash();
-    m_timers.push_back(m_loop->After(Milliseconds(0), [this] {
-      Crash();
-      m_timers.push_back(m_loop->After(kCrashDowntime, [this] { Start(); }));
-    }));
+    CrashUnder();
     return;
   } else if (open) {
     stream->stalled_since = TimePoint();
--- a/tests/fakes/platform_upstreams.h
+++ b/tests/fakes/platform_upstreams.h
@@ -47,11 +47,29 @@
 constexpr char kBadPart[] = "bad0";
 constexpr Milliseconds kCrashDowntime{1500};
 
+// Body of a look-up that crashes each plain upstream that runs it, likewise.
+constexpr char kBadBody[] = "bad request";
+
+// What an upstream asks of the instance that sent it a request: at most `requests` further ones
+// between `from` and `until` after its answer.
+struct Quota {
+  Milliseconds from{0};
+  Milliseconds until{0};
+  int requests = 0;
+};
+
 // What ran, by request id, at all upstreams.
 struct RunJournal {
   std::map<std::string, int> runs;
   int bad_part_crashes = 0;
-  // Called for each request with kBadPart that reaches an engine, and for each crash by one.
+  // Called for each request that reaches a process of an upstream, and for each quota that it
+  // states in the answer to one.
+  std::function<void(const std::string& process, const std::string& id)> on_arrival =
+      [](const std::string&, const std::string&) {};
+  std::function<void(const std::string& process, const std::string& id, const Quota&)> on_quota =
+      [](const std::string&, const std::string&, const Quota&) {};
+  // Called for each request with kBadPart or kBadBody that reaches an upstream, and for each crash
+  // by one.
   std::function<void(const std::string& id)> on_bad_part = [](const std::string&) {};
   std::function<void()> on_bad_part_crash = [] {};
 };
@@ -70,8 +88,9 @@
   bool Start();
   // Ends without a word; its layers are lost.
   void Crash();
-  // Reports that it leaves, and is gone after `after`.
-  void Leave(Milliseconds after);
+  // States in its answers that it leaves, and is gone after `after`. `listed`: its entry says so,
+  // too.
+  void Leave(Milliseconds after, bool listed);
   void SetTrouble(UpstreamTrouble trouble) { m_trouble = trouble; }
 
   const UpstreamSpec& Spec() const { return m_spec; }
@@ -110,7 +129,11 @@
   void Register();
   // The hop that is not there or does not hold its layers; null when all are.
   const Hop* Missing(const std::vector<Hop>& path) const;
+  // Returns the fields of an answer to the request, with what the upstream states.
   StandInFields Sealed(const std::string& id) const;
+  std::string Process() const { return m_spec.id + "@" + std::to_string(m_started_ms); }
+  // Crashes after the present event, and is back after kCrashDowntime.
+  void CrashUnder();
   static std::vector<Hop> ParsePath(const std::string& text);
 
   boost::asio::io_context* const m_io;
@@ -127,6 +150,7 @@
   int m_first = 0;
   int m_last = 0;  // Not above m_first: it holds nothing.
   bool m_leaving = false;
+  bool m_leaving_listed = false;
   TimePoint m_leaving_since;
   int m_late_work = 0;
   std::vector<std::shared_ptr<Stream>> m_streams;
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -44,8 +44,8 @@
 constexpr Milliseconds kKeySlack{500};
 constexpr Milliseconds kBackupDelay{1500};
 constexpr int kFinalCalls = 40;
-// Requests with a bad part that may reach engines later than the window after the fifth crash. An
-// instance counts once it has been undisturbed for the window.
+// Requests with a bad part or body that may reach upstreams later than the window after the last
+// crash allowed. An instance counts once it has been undisturbed for the window.
 constexpr int kMaxBadPartSends = 3;
 constexpr Milliseconds kStableWindow{3000};
 
@@ -60,9 +60,10 @@
   TimePoint disturbed_until;  // Killed, stopped or paused: its callers may get no answer.
   bool stopping = false;
   TimePoint disturbed_at;  // Last change of its process or of its link to the store.
+  TimePoint restarted_at;  // Last start or pause of its process.
 };
 
-enum class CallKind { kStream, kOrder, kLook, kBadPart };
+enum class CallKind { kStream, kOrder, kLook, kBadPart, kBadLook };
 
 class SoakRun;
 
@@ -80,6 +81,8 @@
  private:
   void Judge();
   void End(const std::string& outcome);
+  // Returns whether the request crashes the upstreams that run it.
+  bool IsBad() const { return m_kind == CallKind::kBadPart || m_kind == CallKind::kBadLook; }
 
   SoakRun* const m_run;
   const CallKind m_kind;
@@ -100,9 +103,16 @@
       : m_options(options), m_random(MakeRandom(options.seed)), m_loop(MakeEventLoop(&m_io)) {
     m_client = MakeHttpClient(&m_io);
     m_journal.on_bad_part = [this](const std::string& id) { OnBadPart(id); };
+    m_journal.on_arrival = [this](const std::string& process, const std::string& id) {
+      OnArrival(process, id);
+    };
+    m_journal.on_quota = [this](const std::string& process, const std::string& id,
+                                const fakes::Quota& quota) {
+      m_quotas[{process, m_senders.at(id).instance}].push_back({quota, m_loop->Now()});
+    };
     m_journal.on_bad_part_crash = [this] {
-      if (m_journal.bad_part_crashes == 5) {
-        m_fifth_crash = m_loop->Now();
+      if (m_journal.bad_part_crashes == (m_options.bad_look ? 3 : 5)) {
+        m_last_crash = m_loop->Now();
       }
     };
     m_report.log_directory = testing::MakeTemporaryDirectory();
@@ -166,15 +176,32 @@
     return std::chrono::duration_cast<Milliseconds>(m_loop->Now() - m_started).count();
   }
   void Let(Milliseconds time) { m_io.run_for(time); }
-  // A request with the bad part has reached an engine.
+  // A request that crashes upstreams has reached one.
   void OnBadPart(const std::string& id) {
     const TimePoint now = m_loop->Now();
-    const Instance* const instance = m_senders.at(id);
-    const bool counts = m_fifth_crash && now > *m_fifth_crash + kStableWindow &&
+    const Instance* const instance = m_senders.at(id).instance;
+    const bool counts = m_last_crash && now > *m_last_crash + kStableWindow &&
                         now > instance->disturbed_at + kStableWindow &&
                         now > m_store_disturbed_at + kStableWindow;
     if (counts && ++m_report.bad_part_sends > kMaxBadPartSends) {
-      Violation(id + " with the bad part reached an engine from " + instance->name);
+      Violation(id + ", which crashes upstreams, reached one from " + instance->name);
+    }
+  }
+  // A request has reached a process of an upstream, which may have stated quotas.
+  void OnArrival(const std::string& process, const std::string& id) {
+    const Sender& sender = m_senders.at(id);
+    for (StatedQuota& stated : m_quotas[{process, sender.instance}]) {
+      const fakes::Quota& quota = stated.quota;
+      // A leaving binds the requests that callers send later, without the store, too.
+      const bool leaving = quota.requests == 0;
+      const TimePoint when = leaving ? sender.sent : m_loop->Now();
+      const TimePoint disturbed =
+          leaving ? sender.instance->restarted_at : sender.instance->disturbed_at;
+      if (disturbed < stated.when && when > stated.when + quota.from &&
+          when < stated.when + quota.until && ++stated.requests > quota.requests) {
+        Violation(id + " reached " + process + " from " + sender.instance->name + ", which " +
+                  (leaving ? "knew that it leaves" : "was to wait"));
+      }
     }
   }
   tcp::endpoint Address(int group, int number, uint16_t port) const {
@@ -237,6 +264,7 @@
     instance->stopping = false;
     instance->paused_until = TimePoint();
     instance->disturbed_at = m_loop->Now();
+    instance->restarted_at = m_loop->Now();
   }
 
   void WriteConfig() {
@@ -254,8 +282,10 @@
   void Call() {
     Instance* const instance = m_instances[m_random->Below(m_instances.size())].get();
     const bool bad_part = m_options.bad_part && m_random->Below(15) == 0;
+    const bool bad_look = m_options.bad_look && m_random->Below(15) == 0;
     const uint64_t draw = m_random->Below(10);
     const CallKind kind = bad_part   ? CallKind::kBadPart
+                          : bad_look ? CallKind::kBadLook
                           : draw < 5 ? CallKind::kStream
                           : draw < 8 ? CallKind::kOrder
                                      : CallKind::kLook;
@@ -263,8 +293,8 @@
     const bool old_key = !m_finishing && !m_revoked.empty() && m_random->Below(8) == 0;
     const std::string key = old_key ? m_revoked.begin()->first : m_keys.back();
     const std::string id = "r" + std::to_string(m_next_id++);
-    m_senders[id] = instance;
-    m_asked += bad_part ? 0 : 1;
+    m_senders[id] = {instance, m_loop->Now()};
+    m_asked += bad_part || bad_look ? 0 : 1;
     auto caller = std::make_unique<Caller>(this, kind, id, key, instance);
     caller->Start();
     m_callers.push_back(std::move(caller));
@@ -294,6 +324,7 @@
         Disturb(instance, time);
         instance->process->Stop();
         instance->disturbed_at = m_loop->Now() + time;
+        instance->restarted_at = m_loop->Now() + time;
         instance->paused_until = m_loop->Now() + time;
         Later(time, [instance] {
           if (instance->process != nullptr) {
@@ -321,7 +352,7 @@
       }
       case 5:
         Note("leaving " + upstream->Spec().id);
-        upstream->Leave(Milliseconds(3500));
+        upstream->Leave(Milliseconds(3500), time.count() % 2 == 0);
         Later(Milliseconds(3500) + time, [upstream] { upstream->Start(); });
         break;
       case 6: {
@@ -349,6 +380,9 @@
         break;
       }
       case 9:
+        if (m_options.bad_look) {
+          break;  // With another key, the look-up would be another request.
+        }
         Note("key removed");
         m_revoked[m_keys.front()] = m_loop->Now();
         m_keys = {"key-" + std::to_string(m_version)};
@@ -520,8 +554,21 @@
   std::vector<std::unique_ptr<Timer>> m_later;
   std::unique_ptr<Timer> m_send_timer;
   std::vector<std::string> m_keys;
-  std::map<std::string, const Instance*> m_senders;  // Instance that a request was sent to, by ID.
-  std::optional<TimePoint> m_fifth_crash;            // Of those by the bad part.
+  // Instance that a request was sent to, and when.
+  struct Sender {
+    const Instance* instance = nullptr;
+    TimePoint sent;
+  };
+  struct StatedQuota {
+    fakes::Quota quota;
+    TimePoint when;
+    int requests = 0;  // Counted against it.
+  };
+  std::map<std::string, Sender> m_senders;  // By request ID.
+  // By process of an upstream and instance.
+  std::map<std::pair<std::string, const Instance*>, std::vector<StatedQuota>> m_quotas;
+  // Last crash that the bad part or look-up may cause before all instances refuse it.
+  std::optional<TimePoint> m_last_crash;
   TimePoint m_store_disturbed_at;
   int m_asked = 0;  // Requests without the bad part; of the final calls while they are made.
   std::map<std::string, TimePoint> m_revoked;
@@ -550,7 +597,7 @@
     const std::string middle = m_kind == CallKind::kBadPart ? fakes::kBadPart : "7a11";
     request.set("X-Prompt-Prefix", "5a5a:40," + middle + ":20," + m_id.substr(1) + ":40");
   }
-  request.body() = "body of " + m_id;
+  request.body() = m_kind == CallKind::kBadLook ? fakes::kBadBody : "body of " + m_id;
   request.prepare_payload();
   HttpCallOptions options;
   options.endpoint =
@@ -585,8 +632,8 @@
 }
 
 void Caller::Judge() {
-  if (m_status == 200 && m_kind == CallKind::kBadPart) {
-    m_run->Violation(m_id + " with the bad part got an answer");
+  if (m_status == 200 && IsBad()) {
+    m_run->Violation(m_id + ", which crashes upstreams, got an answer");
   } else if (m_status == 200) {
     std::string whole = "done body of " + m_id;
     if (m_kind == CallKind::kStream) {
@@ -618,8 +665,8 @@
 
 void Caller::End(const std::string& outcome) {
   m_timer.reset();
-  if (m_kind == CallKind::kBadPart) {
-    m_run->Count("bad part: " + outcome, false);
+  if (IsBad()) {
+    m_run->Count("bad: " + outcome, false);
     return;
   }
   m_run->Count(outcome, outcome == "200");
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -22,6 +22,8 @@
   Milliseconds recovery{8000};
   // One request in fifteen contains a prompt part that crashes engines, until the end.
   bool bad_part = false;
+  // One request in fifteen is a look-up that crashes the upstreams that run it, until the end.
+  bool bad_look = false;
   // The store is restored from older copies.
   bool restores = false;
 };
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -29,7 +29,7 @@
   }
   story += " at the end " + std::to_string(report.served_at_end) + " of " +
            std::to_string(report.asked_at_end);
-  if (options.bad_part) {
+  if (options.bad_part || options.bad_look) {
     story += ", crashes " + std::to_string(report.bad_part_crashes) + ", late sends " +
              std::to_string(report.bad_part_sends);
   }
@@ -76,6 +76,14 @@
   PlaySeeds(1, 2, options);
 }
 
+// Guards against a request that takes a plain service away from its callers, amid restarts and
+// ordinary crashes (dathanna second1).
+BOOST_AUTO_TEST_CASE(requests_that_crash_upstreams_are_contained) {
+  SoakOptions options;
+  options.bad_look = true;
+  PlaySeeds(1, 2, options);
+}
+
 // Guards against promises that hold only while the store moves forward.
 BOOST_AUTO_TEST_CASE(promises_hold_while_the_store_is_restored) {
   SoakOptions options;
