Keep the rate limits of upstreams in the record of their statements

A rate limit is stated like a leaving or a closing, but kept its own age, source and lifetime in Upstream. It moves into UpstreamStatements; the token bucket, which counts what this instance sends, stays in Upstream. No behaviour changes but one: a limit that has expired unnoticed and is stated again starts with an empty bucket.

New: merging rate limits does not depend on the order of arrival.

--- a/include/azuregw/fleet/fleet.h
+++ b/include/azuregw/fleet/fleet.h
@@ -82,13 +82,8 @@
   int reported_load = 0;  // Self-reported number of running and queued requests.
   TimePoint reported_at;  // Time of `reported_load`.
   double slowdown = 1;    // Self-reported slowdown factor; 1 is normal speed.
-  TimePoint slowdown_until;  // Expiry of `slowdown`.
-  // Requests per second that the upstream accepts from all instances together, as it last said in
-  // an answer; nullopt: it states no limit.
-  std::optional<double> rate_limit;
-  TimePoint rate_limit_at;            // Time of that answer.
-  bool rate_limit_seen_here = false;  // The answer was received here, not at another instance.
-  StartBucket start_bucket;           // Requests of this instance under `rate_limit`.
+  TimePoint slowdown_until;        // Expiry of `slowdown`.
+  StartBucket start_bucket;        // Requests of this instance under the stated rate limit.
   bool pace_queried_here = false;  // `slowdown` was queried by this instance, not by another one.
   UpstreamStatements statements;   // Of the process that `record` describes.
 
@@ -134,9 +129,6 @@
   static constexpr Milliseconds kRemovedTtl{60000};
   static constexpr size_t kMaxRemoved = 4096;
 
-  // Lifetime of a stated rate limit. Upstreams with requests state it again all the time.
-  static constexpr Milliseconds kRateLimitTtl{30000};
-
   // Lifetime of an engine's self-reported pace, which is a few hundred ms old on arrival.
   static constexpr Milliseconds kPaceTtl{1500};
 
--- a/include/azuregw/fleet/upstream_statements.h
+++ b/include/azuregw/fleet/upstream_statements.h
@@ -75,6 +75,22 @@
   // Returns the time until this instance may send requests again; 0 if it may.
   Milliseconds TimeToOpen(TimePoint now) const;
 
+  // Lifetime of a rate limit. Upstreams with requests state it again all the time.
+  static constexpr Milliseconds kRateLimitTtl{30000};
+
+  // Adds the rate limit in an answer to a request that was sent at `sent_at`: requests per second
+  // that the process accepts from all instances together. Returns whether it changed. An answer
+  // without a limit ends one only if its request was sent after the limit was last stated.
+  bool AddRateLimit(std::optional<double> per_s, TimePoint sent_at, TimePoint now);
+  // Adds a rate limit, or its end, that another instance heard at `when`. Returns whether it is
+  // newer than the known one.
+  bool MergeRateLimit(std::optional<double> per_s, TimePoint when);
+  // Returns the rate limit; nullopt if there is none.
+  std::optional<double> RateLimit(TimePoint now) const;
+  // Returns the time since the last statement of the limit, or of its end, if this instance should
+  // relay it.
+  std::optional<Milliseconds> RateLimitAgeToRelay(TimePoint now) const;
+
   // Returns the time for which the fact still holds if this instance should relay it.
   std::optional<Milliseconds> ToRelay(StatedFact fact, TimePoint now) const;
 
@@ -85,6 +101,9 @@
   Statement m_leaving;
   Statement m_closed_here;
   Statement m_closed_elsewhere;
+  std::optional<double> m_rate_limit;
+  TimePoint m_rate_limit_at;  // Last statement of the limit or of its end.
+  StatementSource m_rate_limit_source = StatementSource::kInstance;
 };
 
 }  // namespace azuregw
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -106,7 +106,6 @@
         upstream.stopped_until = TimePoint();
         upstream.failures = 0;
         upstream.suspicions = 0;
-        upstream.rate_limit.reset();
         upstream.statements = UpstreamStatements();
       }
       if (old.draining != record.draining) {
@@ -251,42 +250,35 @@
 bool Fleet::OnRateLimit(const std::string& id, std::optional<double> limit, TimePoint sent_at,
                         TimePoint now) {
   Upstream* const upstream = Find(id);
-  if (upstream == nullptr ||
-      (!limit && (!upstream->rate_limit || sent_at <= upstream->rate_limit_at))) {
+  if (upstream == nullptr) {
     return false;
   }
-  const bool changed = upstream->rate_limit != limit;
-  if (!upstream->rate_limit) {
-    upstream->start_bucket.Reset(now);
+  const bool limited = upstream->statements.RateLimit(now).has_value();
+  if (!upstream->statements.AddRateLimit(limit, sent_at, now)) {
+    return false;
   }
-  upstream->rate_limit = limit;
-  upstream->rate_limit_at = now;
-  upstream->rate_limit_seen_here = true;
-  if (changed) {
-    m_on_health_report();
+  if (!limited) {
+    upstream->start_bucket.Reset(now);
   }
-  return changed;
+  m_on_health_report();
+  return true;
 }
 
 void Fleet::ApplyRateLimitReport(const std::string& id, std::optional<double> limit, TimePoint when,
                                  TimePoint now) {
   Upstream* const upstream = Find(id);
-  if (upstream == nullptr || when <= upstream->rate_limit_at) {
+  if (upstream == nullptr) {
     return;
   }
-  if (!upstream->rate_limit) {
+  const bool limited = upstream->statements.RateLimit(now).has_value();
+  if (upstream->statements.MergeRateLimit(limit, when) && !limited) {
     upstream->start_bucket.Reset(now);
   }
-  upstream->rate_limit = limit;
-  upstream->rate_limit_at = when;
-  upstream->rate_limit_seen_here = false;
 }
 
 std::optional<double> Fleet::StartRate(const Upstream& upstream, TimePoint now) const {
-  if (!upstream.rate_limit || now - upstream.rate_limit_at > kRateLimitTtl) {
-    return std::nullopt;
-  }
-  return RateShare(*upstream.rate_limit, upstream.record.id, m_position);
+  const std::optional<double> limit = upstream.statements.RateLimit(now);
+  return limit ? std::optional(RateShare(*limit, upstream.record.id, m_position)) : std::nullopt;
 }
 
 void Fleet::SetPosition(const FleetPosition& position, TimePoint now) {
--- a/src/fleet/fleet_load_table.cc
+++ b/src/fleet/fleet_load_table.cc
@@ -14,8 +14,6 @@
 
 // Longer idle times are not reported.
 constexpr Milliseconds kMaxReportedIdle{5000};
-// Older statements of rate limits are not reported; each answer renews them.
-constexpr Milliseconds kMaxReportedLimitAge{3000};
 
 // Returns the time from `now` to `until`, truncated to milliseconds.
 Milliseconds Remaining(TimePoint until, TimePoint now) {
@@ -125,14 +123,13 @@
     const bool pace = upstream.pace_queried_here && upstream.slowdown_until > now;
     const auto idle = std::chrono::duration_cast<Milliseconds>(now - upstream.own_progress);
     const bool active = upstream.own_load.requests > 0 || idle < kMaxReportedIdle;
-    const auto limit_age = std::chrono::duration_cast<Milliseconds>(now - upstream.rate_limit_at);
-    const bool limit = upstream.rate_limit_seen_here && limit_age < kMaxReportedLimitAge;
+    const auto limit_age = upstream.statements.RateLimitAgeToRelay(now);
     // The list relays what it states itself.
     const auto leaving = upstream.record.draining
                              ? std::nullopt
                              : upstream.statements.ToRelay(StatedFact::kLeaving, now);
     const auto closed = upstream.statements.ToRelay(StatedFact::kClosed, now);
-    if (!active && !suspect && !full && !pace && !limit && !leaving && !closed) {
+    if (!active && !suspect && !full && !pace && !limit_age && !leaving && !closed) {
       continue;
     }
     const std::optional<UpstreamNumber> number = numbers.NumberOf(id);
@@ -159,8 +156,8 @@
     if (upstream.own_begun > 0) {
       report.begun.push_back({*number, upstream.own_begun});
     }
-    if (limit) {
-      report.rate_limits.push_back({*number, upstream.rate_limit, limit_age});
+    if (limit_age) {
+      report.rate_limits.push_back({*number, upstream.statements.RateLimit(now), *limit_age});
     }
     if (leaving) {
       report.statements.push_back(
--- a/src/fleet/upstream_statements.cc
+++ b/src/fleet/upstream_statements.cc
@@ -44,6 +44,38 @@
                          : Milliseconds(0);
 }
 
+bool UpstreamStatements::AddRateLimit(std::optional<double> per_s, TimePoint sent_at,
+                                      TimePoint now) {
+  if (!per_s && (!m_rate_limit || sent_at <= m_rate_limit_at)) {
+    return false;
+  }
+  const bool changed = m_rate_limit != per_s;
+  m_rate_limit = per_s;
+  m_rate_limit_at = now;
+  m_rate_limit_source = StatementSource::kAnswer;
+  return changed;
+}
+
+bool UpstreamStatements::MergeRateLimit(std::optional<double> per_s, TimePoint when) {
+  if (when <= m_rate_limit_at) {
+    return false;
+  }
+  m_rate_limit = per_s;
+  m_rate_limit_at = when;
+  m_rate_limit_source = StatementSource::kInstance;
+  return true;
+}
+
+std::optional<double> UpstreamStatements::RateLimit(TimePoint now) const {
+  return now - m_rate_limit_at > kRateLimitTtl ? std::nullopt : m_rate_limit;
+}
+
+std::optional<Milliseconds> UpstreamStatements::RateLimitAgeToRelay(TimePoint now) const {
+  const auto age = std::chrono::duration_cast<Milliseconds>(now - m_rate_limit_at);
+  return m_rate_limit_source == StatementSource::kAnswer && age < kRelayTime ? std::optional(age)
+                                                                             : std::nullopt;
+}
+
 std::optional<Milliseconds> UpstreamStatements::ToRelay(StatedFact fact, TimePoint now) const {
   const Statement& statement = Of(fact, StatementSource::kAnswer);
   if (statement.source != StatementSource::kAnswer || now >= statement.until ||
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -246,9 +246,10 @@
     m_metrics->Set("azuregw_store_restores", "",
                    static_cast<double>(m_platform.store->Era()->Restores()));
     m_metrics->Set("azuregw_upstreams", "", static_cast<double>(m_fleet.All().size()));
-    const auto limited =
-        std::count_if(m_fleet.All().begin(), m_fleet.All().end(),
-                      [](const auto& entry) { return entry.second.rate_limit.has_value(); });
+    const auto limited = std::count_if(m_fleet.All().begin(), m_fleet.All().end(),
+                                       [now = m_loop->Now()](const auto& entry) {
+                                         return entry.second.statements.RateLimit(now).has_value();
+                                       });
     m_metrics->Set("azuregw_limited_upstreams", "", static_cast<double>(limited));
     m_metrics->Set("azuregw_connections", "", m_listener->Connections());
     m_metrics->Set("azuregw_queued_streams", "", m_queue.Size());
--- a/tests/fleet/rate_share_test.cc
+++ b/tests/fleet/rate_share_test.cc
@@ -200,8 +200,9 @@
   fleet.Update({record}, false, start);
   fleet.SetPosition({8, 9}, start);
   fleet.OnRateLimit(kEngine, 0, start, start);
-  BOOST_TEST(!fleet.MayStart(*fleet.Find(kEngine), start + Fleet::kRateLimitTtl));
-  BOOST_TEST(fleet.MayStart(*fleet.Find(kEngine), start + Fleet::kRateLimitTtl + Milliseconds(1)));
+  BOOST_TEST(!fleet.MayStart(*fleet.Find(kEngine), start + UpstreamStatements::kRateLimitTtl));
+  BOOST_TEST(fleet.MayStart(*fleet.Find(kEngine),
+                            start + UpstreamStatements::kRateLimitTtl + Milliseconds(1)));
   fleet.OnRateLimit(kEngine, 0, start, start + Milliseconds(1));
   ++record.started_ms;
   fleet.Update({record}, false, start + Milliseconds(2));
@@ -227,13 +228,13 @@
   table.SetReport(1, BuildLoadReport(first, numbers, 1, now), now);
   table.SetReport(2, BuildLoadReport(second, numbers, 2, now), now);
   ApplyTotals(table.Totals(now), none, 3, numbers, &third, now);
-  BOOST_TEST((third.Find(kEngine)->rate_limit == 10.0));
+  BOOST_TEST((third.Find(kEngine)->statements.RateLimit(now) == 10.0));
   second.OnRateLimit(kEngine, std::nullopt, now, now);
   table.SetReport(2, BuildLoadReport(second, numbers, 2, now), now);
   ApplyTotals(table.Totals(now), none, 3, numbers, &third, now);
   ApplyTotals(table.Totals(now), none, 1, numbers, &first, now);
-  BOOST_TEST(!third.Find(kEngine)->rate_limit.has_value());
-  BOOST_TEST(!first.Find(kEngine)->rate_limit.has_value());
+  BOOST_TEST(!third.Find(kEngine)->statements.RateLimit(now).has_value());
+  BOOST_TEST(!first.Find(kEngine)->statements.RateLimit(now).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fleet/upstream_statements_test.cc
+++ b/tests/fleet/upstream_statements_test.cc
@@ -48,6 +48,29 @@
   BOOST_TEST(holds);
 }
 
+// The same for rate limits, which later answers change or end.
+BOOST_AUTO_TEST_CASE(merge_of_rate_limits_does_not_depend_on_the_order_of_arrival) {
+  const bool holds = rc::check("merge of rate limits", [] {
+    const auto ages = *rc::gen::unique<std::vector<int>>(rc::gen::inRange(1, 1000));
+    // Each statement names its own time, so that the result shows which one counts.
+    const auto add = [](UpstreamStatements* record, int age) {
+      record->MergeRateLimit(age % 4 == 0 ? std::nullopt : std::optional<double>(age),
+                             kNow - Milliseconds(age));
+    };
+    UpstreamStatements forward;
+    UpstreamStatements backward;
+    for (const int age : ages) {
+      add(&forward, age);
+    }
+    for (auto age = ages.rbegin(); age != ages.rend(); ++age) {
+      add(&backward, *age);
+      add(&backward, *age);
+    }
+    RC_ASSERT(forward.RateLimit(kNow) == backward.RateLimit(kNow));
+  });
+  BOOST_TEST(holds);
+}
+
 // Guards against a leaving that a list undoes: an older page, or a restored store.
 BOOST_AUTO_TEST_CASE(leaving_survives_a_list_that_says_ready) {
   Fleet fleet;
