Go on relaying a statement that comes back from the leader

What callers would see: an instance that joins the leader some 100 ms after the others does not learn that an upstream leaves.

Cause: relayed statements count their time anew from each arrival, so that the one that came back to the instance that had heard it ended some ms later than its own, replaced it, and was no longer its own to relay. Found by reading the change; statement_heard_by_one_instance_counts_at_all, with one more check, fails without the fix and passes with it.

Change: while a statement that was heard here holds, relayed ones for the same fact and process are ignored.

Also: constants before methods in the record, and a comment.

--- a/include/azuregw/fleet/upstream_statements.h
+++ b/include/azuregw/fleet/upstream_statements.h
@@ -39,7 +39,7 @@
 // A statement as one instance knows it.
 struct Statement {
   TimePoint until;     // End of the fact; TimePoint() if it was never stated.
-  TimePoint heard_at;  // Arrival of the answer, or of the other instance's report.
+  TimePoint heard_at;  // Arrival of the answer, or of the report of another instance.
   StatementSource source = StatementSource::kInstance;
 };
 
@@ -59,6 +59,8 @@
   // Longest time for which one refusal closes an upstream, so that a faulty one cannot shut itself
   // out for long.
   static constexpr Milliseconds kMaxClosedTime{600000};
+  // Lifetime of a rate limit. Upstreams with requests state it again all the time.
+  static constexpr Milliseconds kRateLimitTtl{30000};
   // Statements heard here are relayed for this long, after which all instances have them.
   static constexpr Milliseconds kRelayTime{3000};
 
@@ -67,7 +69,6 @@
 
   // Returns whether the process has stated that it leaves.
   bool Leaving(TimePoint now) const { return now < m_leaving.until; }
-
   // Returns whether the process wants no requests from this instance.
   bool ClosedHere(TimePoint now) const { return now < m_closed_here.until; }
   // Returns whether the process has stated to another instance that it wants no requests from it.
@@ -75,8 +76,11 @@
   // Returns the time until this instance may send requests again; 0 if it may.
   Milliseconds TimeToOpen(TimePoint now) const;
 
-  // Lifetime of a rate limit. Upstreams with requests state it again all the time.
-  static constexpr Milliseconds kRateLimitTtl{30000};
+  // Returns the time for which the fact still holds if this instance should relay it.
+  std::optional<Milliseconds> ToRelay(StatedFact fact, TimePoint now) const;
+
+  // Returns what is known of `fact` from `source`; a leaving is the same from both.
+  const Statement& Of(StatedFact fact, StatementSource source) const;
 
   // Adds the rate limit in an answer to a request that was sent at `sent_at`: requests per second
   // that the process accepts from all instances together. Returns whether it changed. An answer
@@ -91,12 +95,6 @@
   // relay it.
   std::optional<Milliseconds> RateLimitAgeToRelay(TimePoint now) const;
 
-  // Returns the time for which the fact still holds if this instance should relay it.
-  std::optional<Milliseconds> ToRelay(StatedFact fact, TimePoint now) const;
-
-  // Returns what is known of `fact` from `source`; a leaving is the same from both.
-  const Statement& Of(StatedFact fact, StatementSource source) const;
-
  private:
   Statement m_leaving;
   Statement m_closed_here;
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -238,8 +238,12 @@
 void Fleet::ApplyStatementReport(const std::string& id, int64_t started_ms, StatedFact fact,
                                  Milliseconds remaining, TimePoint now) {
   Upstream* const upstream = Find(id);
-  if (upstream == nullptr || upstream->record.started_ms != started_ms ||
-      (fact == StatedFact::kClosed && upstream->statements.ClosedHere(now))) {
+  if (upstream == nullptr || upstream->record.started_ms != started_ms) {
+    return;
+  }
+  // A statement heard here counts, and is relayed, as such. It may come back from the leader.
+  const Statement& own = upstream->statements.Of(fact, StatementSource::kAnswer);
+  if (own.source == StatementSource::kAnswer && now < own.until) {
     return;
   }
   const Milliseconds longest = fact == StatedFact::kLeaving ? UpstreamStatements::kLeavingTtl
--- a/src/forward/engine_health_checker.cc
+++ b/src/forward/engine_health_checker.cc
@@ -50,6 +50,7 @@
     return;
   }
   TimePoint& last_probe = m_last_silence_probe[id];
+  // The engine wants no requests; one probe tells whether its streams must leave it.
   const Statement& closed = upstream->statements.Of(StatedFact::kClosed, StatementSource::kAnswer);
   const bool probed_while_closed = now < closed.until && last_probe >= closed.heard_at;
   if (now - last_probe < kSilenceProbeInterval || probed_while_closed) {
--- a/tests/fleet/upstream_statements_test.cc
+++ b/tests/fleet/upstream_statements_test.cc
@@ -135,6 +135,9 @@
     ApplyTotals(totals, {}, 3, numbers, fleet, later);
     ApplyTotals(totals, {}, 3, numbers, fleet, later);
   }
+  // The statement comes back to the instance that heard it, which goes on relaying it.
+  ApplyTotals(totals, {}, 1, numbers, &heard, later + Milliseconds(100));
+  BOOST_TEST(BuildLoadReport(heard, numbers, 1, later + Milliseconds(100)).statements.size() == 1U);
   BOOST_TEST(!told.Find("e1")->Usable(later));
   BOOST_TEST(restarted.Find("e1")->Usable(later));
   BOOST_REQUIRE(changes.size() == 1U);
