Wait for the confirmation of the configuration before callers are read

Cause: an instance that starts on a restored store holds a configuration that counts only after the second in which the operator may write again, but read its callers as soon as it had one, and refused them. And the watch that confirms it ended up to 250 ms after that second.

Change: where keys expire, new connections stay in the backlog until the configuration is confirmed, for 0.8 s after the start as before, or until a restored store must have confirmed it. The watch ends when the second does.

--- a/include/azuregw/sync/config_watcher.h
+++ b/include/azuregw/sync/config_watcher.h
@@ -31,8 +31,7 @@
   static constexpr Milliseconds kWatchWait{1500};
   // Watch duration on the leader; shorter because relaying adds to the age seen by followers.
   static constexpr Milliseconds kRelayingWatchWait{700};
-  // Watch duration while a restored store may lack versions; the first answer after this time
-  // confirms the configuration.
+  // Longest watch duration while a restored store may lack versions.
   static constexpr Milliseconds kUnsettledWatchWait{250};
   // Delay before the next watch after a change; batches a burst of versions into few calls.
   static constexpr Milliseconds kPostChangeDelay{100};
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -49,6 +49,8 @@
 constexpr Milliseconds kStopPollInterval{50};
 constexpr Milliseconds kConfigPollInterval{5};
 constexpr Milliseconds kMaxConfigWait{800};
+// Time for the answer of the store that confirms the configuration after a restore.
+constexpr Milliseconds kSettledMargin{50};
 constexpr Milliseconds kQueueTickInterval{25};
 // Number of instances assumed to share the load until it is known.
 constexpr int kAssumedInstances = 8;
@@ -261,10 +263,16 @@
 
   // Leaves connections in the listen backlog until the state in the store is known, because a
   // refusal would use up the caller's next attempt. Callers abandon a connection that is not read
-  // for 1 s, so the wait is limited to kMaxConfigWait.
+  // for 1 s, so the wait is limited to kMaxConfigWait, or to the time after which a restored store
+  // confirms the configuration.
   void AcceptWhenConfigured() {
-    const bool known = m_routes.Version() > 0 && m_lister.Age() && m_quarantine_store.Started();
-    if (known || m_loop->Now() - m_started > kMaxConfigWait) {
+    const TimePoint now = m_loop->Now();
+    const bool keys_expire = KeyAge(m_context.settings).count() > 0;
+    const bool config_known = keys_expire ? m_routes.Age(now).has_value() : m_routes.Version() > 0;
+    const bool known = config_known && m_lister.Age() && m_quarantine_store.Started();
+    const TimePoint latest = std::max(m_started + kMaxConfigWait,
+                                      m_platform.store->Era()->UnsettledUntil() + kSettledMargin);
+    if (known || now > latest) {
       m_listener->Accept();
       return;
     }
--- a/src/sync/config_watcher.cc
+++ b/src/sync/config_watcher.cc
@@ -3,6 +3,7 @@
 #include "azuregw/sync/config_watcher.h"
 
 #include <algorithm>
+#include <chrono>
 #include <memory>
 #include <string>
 #include <utility>
@@ -186,8 +187,10 @@
 void ConfigWatcher::Watch() {
   const TimePoint sent = m_loop->Now();
   Milliseconds wait = m_relaying ? kRelayingWatchWait : kWatchWait;
-  if (!m_rewritten && sent < m_store->Era()->UnsettledUntil()) {
-    wait = std::min(wait, kUnsettledWatchWait);
+  const TimePoint settled = m_store->Era()->UnsettledUntil();
+  if (!m_rewritten && sent < settled) {
+    // The watch that ends then confirms the configuration.
+    wait = std::min({wait, kUnsettledWatchWait, std::chrono::ceil<Milliseconds>(settled - sent)});
   }
   m_calling = true;
   m_store->Watch(m_codec->ConfigKey(), m_revision, wait,
--- a/tests/sync/config_watcher_test.cc
+++ b/tests/sync/config_watcher_test.cc
@@ -234,6 +234,26 @@
 
 // Guards against an instance that starts before the operator has written again, and accepts keys
 // that were removed.
+// Guards against callers that are refused for longer than the operator may need.
+BOOST_AUTO_TEST_CASE(configuration_is_confirmed_as_soon_as_the_grace_period_has_ended) {
+  for (const int started_at : {0, 60, 130, 200}) {
+    Fixture f;
+    f.loop.Advance(Milliseconds(started_at));
+    f.store.Put("config", "9");
+    f.store.m_stated_era = StoreEra::kFirst + 1;
+    f.watcher.Start();
+    while (f.store.Era()->Current() <= StoreEra::kFirst) {
+      f.loop.Advance(Milliseconds(1));
+    }
+    f.loop.Advance(Milliseconds(70 + started_at));
+    f.store.Put("config/other", "x");  // Ends a watch early.
+    f.loop.Advance(StoreEra::kRewriteGrace - Milliseconds(70 + started_at) - Milliseconds(10));
+    BOOST_TEST(!f.table.ConfirmedAt().has_value(), started_at);
+    f.loop.Advance(Milliseconds(60));
+    BOOST_TEST(f.table.ConfirmedAt().has_value(), started_at);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(start_on_a_restored_store_confirms_after_the_grace_period) {
   Fixture f;
   f.store.Put("config", "9");
