Know the leader as soon as the lease is found taken

Cause: an instance that tries to take the lease reads the key first; finding it taken, it forgot who holds it and looked again a second later.

Change: what that read returns is used like the result of a poll. It is a linearizable read, so it is at least as new. It holds for each loss of a leader, not for restores alone.

--- a/include/azuregw/placement/leader_lease.h
+++ b/include/azuregw/placement/leader_lease.h
@@ -93,6 +93,8 @@
   TimePoint EarliestAcquisition() const;
   // Reads the key and acquires the lease if it is free or was left behind by the previous process.
   void Poll();
+  // Records the leader that holds the key, and polls again later.
+  void OnLeaderSeen(const KvEntry& entry);
   // Confirms with a linearizable read that the key can be taken, then requests a lease.
   void Acquire();
   // `replaced_revision`: revision of the key to replace; 0 if the key must not exist.
--- a/src/placement/leader_lease.cc
+++ b/src/placement/leader_lease.cc
@@ -126,18 +126,7 @@
           return;
         }
         if (reading.value().entry) {
-          const std::string& leader = reading.value().entry->value;
-          m_last_known_leader = m_last_known_leader && leader == m_own_value;
-          if (leader != m_leader_value) {
-            m_leader_value = leader;
-            m_log->Write("duty_holder",
-                         {{"duty", m_key},
-                          {"holder", leader},
-                          {"fencing_token", MakeFencingToken(m_store->Era()->Current(),
-                                                             reading.value().entry->revision)}},
-                         true);
-          }
-          Schedule(kLeaderPollInterval, &LeaderLease::Poll);
+          OnLeaderSeen(*reading.value().entry);
           return;
         }
         const auto wait =
@@ -152,6 +141,19 @@
       });
 }
 
+void LeaderLease::OnLeaderSeen(const KvEntry& entry) {
+  m_last_known_leader = m_last_known_leader && entry.value == m_own_value;
+  if (entry.value != m_leader_value) {
+    m_leader_value = entry.value;
+    m_log->Write("duty_holder",
+                 {{"duty", m_key},
+                  {"holder", entry.value},
+                  {"fencing_token", MakeFencingToken(m_store->Era()->Current(), entry.revision)}},
+                 true);
+  }
+  Schedule(kLeaderPollInterval, &LeaderLease::Poll);
+}
+
 void LeaderLease::Acquire() {
   // A linearizable read first: most instances find the lease taken and save two writes.
   m_store->Get(Key(), ReadMode::kNewest,
@@ -162,10 +164,14 @@
                  const bool left_behind = reading && reading.value().entry &&
                                           reading.value().entry->value == m_own_value &&
                                           !m_last_known_leader;
-                 if (!reading || (reading.value().entry && !left_behind)) {
+                 if (!reading) {
                    Schedule(kLeaderPollInterval, &LeaderLease::Poll);
                    return;
                  }
+                 if (reading.value().entry && !left_behind) {
+                   OnLeaderSeen(*reading.value().entry);
+                   return;
+                 }
                  RequestLease(left_behind ? reading.value().entry->revision : 0);
                });
 }
--- a/tests/placement/leader_lease_test.cc
+++ b/tests/placement/leader_lease_test.cc
@@ -54,6 +54,20 @@
   BOOST_TEST(f.log.Count("duty_taken") == 1);
 }
 
+// Guards against an instance that finds the lease taken and looks for its holder a second later, in
+// which it does not know the load of the others.
+BOOST_AUTO_TEST_CASE(instance_that_finds_the_lease_taken_knows_the_leader_at_once) {
+  Fixture f;
+  f.first.Start();
+  f.second.Start();
+  while (!f.first.Held() && !f.second.Held()) {
+    f.Run(10);
+  }
+  f.Run(static_cast<int>(LeaderLease::kMaxAcquireJitter.count()) + 50);
+  BOOST_TEST(!f.first.LeaderValue().empty());
+  BOOST_TEST(f.first.LeaderValue() == f.second.LeaderValue());
+}
+
 // Guards against two leaders whose orders an engine cannot distinguish.
 BOOST_AUTO_TEST_CASE(later_leader_has_a_higher_fencing_token) {
   Fixture f;
