Test that lost failure domains do not quarantine sound requests

Found by reading the change: the direction of false blame was tested for whole requests with single exits only. Exits that come together count once for prompt parts, but each for whole requests, so it had to be shown that callers who repeat through the loss of all upstreams of a service are not shut out.

100 draws, all upstreams lost up to 0.2 times a second, under callers that repeat at once: no payment blocked, at most one look-up in a thousand. It passes without a change of the product. Also noted, as what remains: the exit of a leaving upstream is no evidence, the wait for the confirmation has no unit test, and relayed rate limits do not name their process.

--- a/tests/admission/request_crash_test.cc
+++ b/tests/admission/request_crash_test.cc
@@ -27,6 +27,7 @@
   double payments_per_s = 10;
   double bad_per_s = 1;
   double ordinary_crashes_per_s = 0;
+  double losses_per_s = 0;           // Of all upstreams at once, as of a failure domain.
   Milliseconds restart_interval{0};  // Of one instance, the leader each third time; 0: none.
   Milliseconds exchange_interval{150};
   Milliseconds duration{75000};
@@ -94,6 +95,11 @@
       if (Happens(m_options.ordinary_crashes_per_s)) {
         Exit(m_random->Below(m_servers.size()));
       }
+      if (m_options.losses_per_s > 0 && Happens(m_options.losses_per_s)) {
+        for (size_t upstream = 0; upstream < m_servers.size(); ++upstream) {
+          Exit(upstream);
+        }
+      }
       if (m_options.restart_interval.count() > 0 && m_now >= restart_at) {
         restart_at += m_options.restart_interval;
         Restart(m_random->Below(3) == 0 ? m_leader : m_random->Below(m_instances.size()));
@@ -352,6 +358,27 @@
   BOOST_TEST(blocked <= 0.001 * look_ups, blocked << " of " << look_ups);
 }
 
+// Load pattern: no bad request, but all upstreams exit together, again and again, as when the only
+// failure domain of a service is lost. Guards against blaming what ran there each time.
+BOOST_AUTO_TEST_CASE(lost_failure_domains_block_hardly_any_request) {
+  int look_ups = 0;
+  int blocked = 0;
+  int blocked_payments = 0;
+  for (uint64_t seed = 1; seed <= 100; ++seed) {
+    Options options;
+    options.seed = seed;
+    options.bad_per_s = 0;
+    options.look_ups_per_s = 30;
+    options.losses_per_s = 0.02 * static_cast<double>(1 + seed % 10);
+    const Outcome outcome = Simulation(options).Run();
+    look_ups += outcome.look_ups;
+    blocked += outcome.blocked_look_ups;
+    blocked_payments += outcome.blocked_payments;
+  }
+  BOOST_TEST(blocked_payments == 0);
+  BOOST_TEST(blocked <= 0.001 * look_ups, blocked << " of " << look_ups);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
