Show that answers of 4 MiB and more are lost after the order has run

LOST breaks without any disruption: the limit for callers that read too slowly also hits a whole answer that is handed over in one piece.

--- a/review/stand_in/answers.h
+++ b/review/stand_in/answers.h
@@ -17,6 +17,12 @@
 constexpr Milliseconds kPlainPause{25};
 constexpr size_t kPlainPieceBytes = 100;
 
+// Requests whose body begins with kLargePrefix get a plain answer of this size, with its length.
+constexpr char kLargePrefix[] = "large";
+constexpr size_t kLargeAnswerBytes = size_t{5} << 20;
+
+inline bool AsksForLargeAnswer(const std::string& body) { return body.rfind(kLargePrefix, 0) == 0; }
+
 // Returns one event of the stream that answers a request with this body.
 inline std::string EventPiece(const std::string& body, int event) {
   const std::string number = std::to_string(event);
@@ -32,6 +38,9 @@
 
 // Returns the whole answer to a request with this body.
 inline std::string WholeAnswer(const std::string& body, bool stream) {
+  if (AsksForLargeAnswer(body)) {
+    return std::string(kLargeAnswerBytes, 'a');
+  }
   std::string text;
   for (int piece = 1; piece <= (stream ? kStreamPieces : kPlainPieces); ++piece) {
     text += stream ? EventPiece(body, piece) : PlainPiece(body, piece);
--- a/review/stand_in/cases_main.cc
+++ b/review/stand_in/cases_main.cc
@@ -232,6 +232,47 @@
   return served > 0 ? kHeld : kCouldNotRun;
 }
 
+// Orders are answered with 5 MiB, or with 800 bytes without trouble, to callers that keep their
+// connections.
+int AnswersAreLarge(SmallSystem* system) {
+  constexpr int kRequests = 20;
+  constexpr int kAllowed = 3;
+  if (!system->StartStore() || !StartEngines(system, "orders", false)) {
+    return CouldNotRun(system, "the store or the engines");
+  }
+  system->Store()->Put("op/config", OperatorConfig(1, {kKey}));
+  StandInInstance* const instance = system->StartInstance("gw-1", "zone-a");
+  if (!system->WaitReady(*instance, kStartLimit) || !WaitServed(system, *instance, "/order/")) {
+    return CouldNotRun(system, "the instance does not serve");
+  }
+  // The machine is in touch after a start once stableWindowMs has passed.
+  system->RunFor(Milliseconds(4000));
+  system->KeepConnections();
+  int lost = 0;
+  int served = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    // The first request opens the connection on which the second one is sent.
+    for (const char* const body : {"x", WithTrouble() ? kLargePrefix : "x"}) {
+      const auto request = system->Send(*instance, "/order/", body, kKey);
+      system->RunUntil([&] { return request->ended; }, kAnswerLimit);
+      served += request->complete && request->status == 200 ? 1 : 0;
+      if (request->on_kept_connection && request->status == 0 && request->ended &&
+          system->AnsweredByEngine(request->id)) {
+        ++lost;
+        system->Note("BROKEN: the connection of " + request->id +
+                     " was closed without an answer, which the engine had written whole");
+      }
+    }
+  }
+  system->Note(std::to_string(lost) + " requests lost their answer, " + std::to_string(served) +
+               " requests were served");
+  system->RecordRuns();
+  if (lost > kAllowed) {
+    return kBroken;
+  }
+  return served > 0 ? kHeld : kCouldNotRun;
+}
+
 int Run(const std::string& name, const std::string& record) {
   SmallSystem system(record);
   if (name == "killed-orders") {
@@ -246,6 +287,9 @@
   if (name == "copy") {
     return StoreComesBackFromCopy(&system);
   }
+  if (name == "large") {
+    return AnswersAreLarge(&system);
+  }
   std::cerr << "unknown case: " << name << "\n";
   return kCouldNotRun;
 }
--- a/review/stand_in/engine_main.cc
+++ b/review/stand_in/engine_main.cc
@@ -84,8 +84,11 @@
                  (m_model && std::string(request["X-Hop-Count"]) != m_address + "=0-1")) {
         Whole(socket, 421, json::object());
       } else {
-        Answer(socket, request);
-        return;
+        if (!AsksForLargeAnswer(request.body())) {
+          Answer(socket, request);
+          return;
+        }
+        AnswerWithLength(socket, request);
       }
     }
   }
@@ -143,6 +146,18 @@
     Whole(socket, status, json::object());
   }
 
+  void AnswerWithLength(tcp::socket* socket, const Request& request) {
+    const std::string id(request["X-Request-Id"]);
+    Note("begins " + id);
+    http::response<http::string_body> answer;
+    answer.set("X-Request-Id", id);
+    answer.set("X-Response-Seal", "seal." + m_id);
+    answer.body() = WholeAnswer(request.body(), false);
+    answer.prepare_payload();
+    http::write(*socket, answer);
+    Note("ends " + id);
+  }
+
   // Writes a sealed answer that ends with its connection.
   void Answer(tcp::socket* socket, const Request& request) {
     const std::string id(request["X-Request-Id"]);
--- a/review/stand_in/small_system.cc
+++ b/review/stand_in/small_system.cc
@@ -88,6 +88,10 @@
   std::ofstream(m_record_path, std::ios::app) << "+" << ElapsedMs() << " ms " << text << "\n";
 }
 
+bool SmallSystem::AnsweredByEngine(const std::string& id) const {
+  return testing::ReadFile(m_journal_path).find(" ends " + id + "\n") != std::string::npos;
+}
+
 void SmallSystem::RecordRuns() {
   std::ofstream(m_record_path, std::ios::app) << "what the engines ran (Unix ms, engine):\n"
                                               << testing::ReadFile(m_journal_path);
@@ -292,8 +296,10 @@
   message.prepare_payload();
   HttpCallOptions options;
   options.endpoint = instance.callers;
+  options.max_idle = m_max_idle;
   Note("send " + request->id + " " + path + " to " + instance.name + " with " + key);
   call->m_call = m_client->Start(options, std::move(message), call.get());
+  request->on_kept_connection = call->m_call->Reused();
   m_calls.push_back(std::move(call));
   m_requests.push_back(request);
   return request;
--- a/review/stand_in/small_system.h
+++ b/review/stand_in/small_system.h
@@ -58,6 +58,7 @@
   TimePoint sent;
   int status = 0;
   bool sealed = false;
+  bool on_kept_connection = false;
   bool ended = false;     // The answer is complete, or the connection has ended.
   bool complete = false;  // The answer came with its proper end.
   std::string answer;
@@ -86,6 +87,9 @@
   std::shared_ptr<CallerRequest> Send(const StandInInstance& instance, const std::string& path,
                                       const std::string& body, const std::string& key);
 
+  // Lets callers send further requests on connections that are open.
+  void KeepConnections() { m_max_idle = Milliseconds(5000); }
+
   // Runs `action` after `delay`, for as long as the system exists.
   void Later(Milliseconds delay, std::function<void()> action);
   // Returns the engine that ran most requests at its last heartbeat.
@@ -103,6 +107,8 @@
   const std::vector<std::shared_ptr<CallerRequest>>& Requests() const { return m_requests; }
   // Writes a line with the time since the start to the record.
   void Note(const std::string& text);
+  // Returns whether an engine has written the whole answer to the request.
+  bool AnsweredByEngine(const std::string& id) const;
   // Adds the journal of the engines to the record.
   void RecordRuns();
 
@@ -125,6 +131,7 @@
   std::string m_record_path;
   std::string m_journal_path;
   TimePoint m_started;
+  Milliseconds m_max_idle{0};  // Of callers' connections; 0: each request opens a new one.
   int m_next_host = 1;
   int m_next_id = 1;
   std::vector<std::unique_ptr<StandInEngine>> m_engines;
