Show that one caller can make an instance exceed its memory

LOST breaks: chunk extensions without end are buffered without a bound, the process is killed at its memory limit and the orders in flight lose their answers.

--- a/review/stand_in/cases_main.cc
+++ b/review/stand_in/cases_main.cc
@@ -4,11 +4,15 @@
 //   review_cases CASE RECORD     in the repository root; exits with 0: held, 1: broken, 2: not run
 
 #include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "review/stand_in/answers.h"
@@ -273,6 +277,77 @@
   return served > 0 ? kHeld : kCouldNotRun;
 }
 
+// Sends a request whose first chunk has an extension without end, at most `bytes_per_s`, until the
+// instance closes the connection or `time` has passed.
+void SendEndlessChunkExtension(const boost::asio::ip::tcp::endpoint& callers, int64_t bytes_per_s,
+                               Milliseconds time) {
+  constexpr int kPartsPerS = 100;
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket socket(io);
+  boost::system::error_code error;
+  socket.connect(callers, error);
+  const std::string head = std::string("POST /order/x HTTP/1.1\r\nHost: ") + kHostName +
+                           "\r\nX-Request-Id: endless\r\nTransfer-Encoding: chunked\r\n\r\n5;a=";
+  if (!error) {
+    boost::asio::write(socket, boost::asio::buffer(head), error);
+  }
+  const std::string part(static_cast<size_t>(bytes_per_s / kPartsPerS), 'b');
+  auto next = std::chrono::steady_clock::now();
+  for (const auto end = next + time; !error && next < end;
+       next += Milliseconds(1000) / kPartsPerS) {
+    std::this_thread::sleep_until(next);
+    boost::asio::write(socket, boost::asio::buffer(part), error);
+  }
+}
+
+// One caller goes beyond the limits of the configuration; the others send orders.
+int CallerSendsWithoutEnd(SmallSystem* system) {
+  constexpr int kMemoryMb = 260;             // As in the settings.
+  constexpr int64_t kBytesPerS = 100000000;  // Less than the link of 1000 Mbit/s carries.
+  constexpr Milliseconds kEndlessTime{5000};
+  constexpr int kAllowed = 3;
+  if (!system->StartStore() || !StartEngines(system, "orders", false)) {
+    return CouldNotRun(system, "the store or the engines");
+  }
+  system->Store()->Put("op/config", OperatorConfig(1, {kKey}));
+  StandInInstance* const instance = system->StartInstance("gw-1", "zone-a");
+  if (!system->WaitReady(*instance, kStartLimit) || !WaitServed(system, *instance, "/order/")) {
+    return CouldNotRun(system, "the instance does not serve");
+  }
+  system->KeepConnections();
+  system->EnforceMemoryLimit(instance, kMemoryMb);
+  constexpr Milliseconds kLoadTime{10000};
+  SendAtInterval(system, *instance, "/order/", kKey, Milliseconds(20), kLoadTime);
+  system->RunFor(Milliseconds(4000));
+  std::thread endless;
+  if (WithTrouble()) {
+    system->Note("one caller sends a chunk extension without end");
+    endless = std::thread(SendEndlessChunkExtension, instance->callers, kBytesPerS, kEndlessTime);
+  }
+  system->RunFor(kLoadTime - Milliseconds(4000));
+  system->RunUntil([&] { return AllEnded(*system); }, kAnswerLimit);
+  if (endless.joinable()) {
+    endless.join();
+  }
+  int lost = 0;
+  int served = 0;
+  for (const auto& request : system->Requests()) {
+    served += request->complete && request->status == 200 ? 1 : 0;
+    if (request->on_kept_connection && request->status == 0 && system->BegunByEngine(request->id)) {
+      ++lost;
+      system->Note("BROKEN: the connection of " + request->id +
+                   " ended without an answer after an engine had begun to run it");
+    }
+  }
+  system->Note(std::to_string(lost) + " requests lost their answer, " + std::to_string(served) +
+               " requests were served");
+  system->RecordRuns();
+  if (lost > kAllowed) {
+    return kBroken;
+  }
+  return served > 0 ? kHeld : kCouldNotRun;
+}
+
 int Run(const std::string& name, const std::string& record) {
   SmallSystem system(record);
   if (name == "killed-orders") {
@@ -290,6 +365,9 @@
   if (name == "large") {
     return AnswersAreLarge(&system);
   }
+  if (name == "endless") {
+    return CallerSendsWithoutEnd(&system);
+  }
   std::cerr << "unknown case: " << name << "\n";
   return kCouldNotRun;
 }
--- a/review/stand_in/small_system.cc
+++ b/review/stand_in/small_system.cc
@@ -88,10 +88,31 @@
   std::ofstream(m_record_path, std::ios::app) << "+" << ElapsedMs() << " ms " << text << "\n";
 }
 
+void SmallSystem::EnforceMemoryLimit(StandInInstance* instance, int limit_mb) {
+  std::ifstream status("/proc/" + std::to_string(instance->process->pid()) + "/status");
+  std::string line;
+  int used_mb = 0;
+  while (std::getline(status, line)) {
+    if (line.rfind("VmRSS:", 0) == 0) {
+      used_mb = std::stoi(line.substr(6)) / 1024;
+    }
+  }
+  if (used_mb > limit_mb) {
+    Note(instance->name + " uses " + std::to_string(used_mb) + " MB and is killed");
+    instance->process->Kill();
+    return;
+  }
+  Later(Milliseconds(20), [this, instance, limit_mb] { EnforceMemoryLimit(instance, limit_mb); });
+}
+
 bool SmallSystem::AnsweredByEngine(const std::string& id) const {
   return testing::ReadFile(m_journal_path).find(" ends " + id + "\n") != std::string::npos;
 }
 
+bool SmallSystem::BegunByEngine(const std::string& id) const {
+  return testing::ReadFile(m_journal_path).find(" begins " + id + " ") != std::string::npos;
+}
+
 void SmallSystem::RecordRuns() {
   std::ofstream(m_record_path, std::ios::app) << "what the engines ran (Unix ms, engine):\n"
                                               << testing::ReadFile(m_journal_path);
@@ -355,9 +376,9 @@
       {"tenants", json::array({{{"name", "tenant"}, {"apiKeys", keys}}})},
       {"limits",
        {{"maxHeaderBytes", 16384},
-        {"maxBodyBytes", 1048576},
-        {"headerTimeoutMs", 5000},
-        {"idleTimeoutMs", 10000}}}}
+        {"maxBodyBytes", 4194304},
+        {"headerTimeoutMs", 3000},
+        {"idleTimeoutMs", 15000}}}}
       .dump();
 }
 
--- a/review/stand_in/small_system.h
+++ b/review/stand_in/small_system.h
@@ -109,6 +109,10 @@
   void Note(const std::string& text);
   // Returns whether an engine has written the whole answer to the request.
   bool AnsweredByEngine(const std::string& id) const;
+  // Returns whether an engine has begun to run the request.
+  bool BegunByEngine(const std::string& id) const;
+  // Kills the process of the instance once its memory exceeds `limit_mb`, as the platform does.
+  void EnforceMemoryLimit(StandInInstance* instance, int limit_mb);
   // Adds the journal of the engines to the record.
   void RecordRuns();
 
