Confirm no configuration against a store that lacks versions

Cause: after a restore the active version counted as confirmed once the grace period had passed, whatever the store held. An older version than the active one proves that the operator has not written again. An instance also took the entry that the leader had relayed from before the restore for one that the store returned. Change: a restored store confirms the active version only if this instance has read a version since the restore that is not below any that an instance has seen; the grace period remains for a copy with the active version. The leader learns the versions of its followers from their reports.

--- a/include/azuregw/sync/config_watcher.h
+++ b/include/azuregw/sync/config_watcher.h
@@ -6,6 +6,7 @@
 #ifndef AZUREGW_SYNC_CONFIG_WATCHER_H_
 #define AZUREGW_SYNC_CONFIG_WATCHER_H_
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -65,6 +66,10 @@
   void OnRelayedConfig(uint64_t version, std::string_view document, uint64_t revision,
                        TimePoint confirmed);
 
+  // Handles the version that another instance states to have.
+  void OnInstanceVersion(uint64_t version) {
+    m_newest_elsewhere = std::max(m_newest_elsewhere, version);
+  }
   // Handles a message of the leader that the store holds no configuration yet.
   void OnRelayedAbsence() { m_absence_relayed = m_loop->Now(); }
   // Returns whether this instance found no configuration in the store a short time ago.
@@ -98,8 +103,14 @@
   // Handles the entry that the store returned. `written`: as an event of a watch.
   // Returns whether it could be decoded.
   bool OnStoreEntry(const KvEntry& entry, bool written);
-  // Records that the store answered, and that its state at `when` confirms the active version.
+  // Records that the store answered, and that its state at `when` confirms the active version if it
+  // is complete.
   void OnStoreReply(TimePoint when);
+  // Returns whether the state of the store at `when` includes all that operators have written. A
+  // restored store may lack versions that it had acknowledged and that removed keys. One that holds
+  // an older version than an instance has seen does lack versions, however long ago the restore
+  // was. Otherwise the operator has written again, or has had kRewriteGrace to do so.
+  bool IsComplete(TimePoint when) const;
   void OnStoreRestored();
   void Schedule(Milliseconds delay, void (ConfigWatcher::*step)());
 
@@ -112,6 +123,9 @@
   std::function<void()> m_listener;
   uint64_t m_revision = 0;  // Store revision up to which changes are known.
   bool m_must_read = true;  // A change after m_revision may have been missed.
+  // Version that the store returned to this instance since its last restore; 0 if none. What the
+  // leader relays may be from before the restore.
+  uint64_t m_read_version = 0;
   // Last entry that the store returned here or to the leader.
   uint64_t m_stored_version = 0;
   uint64_t m_stored_revision = 0;
@@ -120,6 +134,7 @@
   bool m_store_reachable = true;
   bool m_calling = false;            // A call to the store is in progress.
   uint64_t m_newest_relayed = 0;     // Newest version that the leader announced.
+  uint64_t m_newest_elsewhere = 0;   // Newest version that another instance has.
   bool m_newest_unreadable = false;  // A read failed after the announcement.
   bool m_relaying = false;
   std::string m_document;  // Stored form of the active configuration; empty before the first.
--- a/src/sync/config_watcher.cc
+++ b/src/sync/config_watcher.cc
@@ -18,6 +18,7 @@
 void ConfigWatcher::OnStoreRestored() {
   m_must_read = true;  // Revisions are given out again.
   m_rewritten = false;
+  m_read_version = 0;
 }
 
 void ConfigWatcher::Schedule(Milliseconds delay, void (ConfigWatcher::*step)()) {
@@ -103,6 +104,7 @@
   // A version that has another revision than before the restore was written since.
   const bool moved = *version == m_stored_version && entry.revision != m_stored_revision;
   m_rewritten |= *version >= active && (written || moved);
+  m_read_version = *version;
   m_stored_version = *version;
   m_stored_revision = entry.revision;
   return true;
@@ -125,9 +127,7 @@
 }
 
 void ConfigWatcher::OnStoreReply(TimePoint when) {
-  // A restored store may lack a version that it had acknowledged and that removed keys.
-  const bool complete = m_rewritten && m_stored_version >= m_table->Version();
-  if (complete || when >= m_store->Era()->UnsettledUntil()) {
+  if (IsComplete(when)) {
     m_table->ConfirmNewest(when);
   }
   if (!m_store_reachable) {
@@ -136,6 +136,18 @@
   }
 }
 
+bool ConfigWatcher::IsComplete(TimePoint when) const {
+  if (m_read_version < m_table->Version()) {
+    return false;
+  }
+  const StoreEra& era = *m_store->Era();
+  if (!era.NoticedAt()) {
+    return true;  // Never restored, as far as is known.
+  }
+  const uint64_t newest_seen = std::max(m_newest_relayed, m_newest_elsewhere);
+  return m_read_version >= newest_seen && (m_rewritten || when >= era.UnsettledUntil());
+}
+
 bool ConfigWatcher::KnownAbsent() const {
   return m_table->Version() == 0 && m_absence_read &&
          m_loop->Now() - *m_absence_read < kMaxRelayedAge;
--- a/src/sync/sync_sessions.cc
+++ b/src/sync/sync_sessions.cc
@@ -42,6 +42,7 @@
   follower->stamp_us = report.stamp_us;
   follower->report_arrived = now;
   follower->config_version = report.config_version;
+  m_state.config->OnInstanceVersion(report.config_version);
   follower->config_wanted = report.config_wanted;
   m_max_cpu_share = std::max(m_max_cpu_share, report.cpu_share);
   m_load_table.SetReport(follower->number, report.load, now);
--- a/tests/sync/config_watcher_test.cc
+++ b/tests/sync/config_watcher_test.cc
@@ -214,6 +214,76 @@
   BOOST_TEST((*f.table.Age(f.loop.Now()) < Milliseconds(1000)));
 }
 
+// Guards against an operator who needs longer than the grace period: as long as the store holds an
+// older version than the active one, it is known to lack versions, whose removed keys it cannot
+// know.
+BOOST_AUTO_TEST_CASE(older_version_confirms_nothing_however_long_it_stays) {
+  Fixture f;
+  f.store.Put("config", "9");
+  f.store.BackUp();
+  f.store.Put("config", "12");
+  f.watcher.Start();
+  f.loop.Advance(Milliseconds(50));
+  f.store.m_down = true;
+  f.loop.Advance(Milliseconds(2000));
+  f.store.m_down = false;
+  f.store.Restore();
+  f.loop.Advance(Milliseconds(20000));
+  BOOST_TEST((*f.table.Age(f.loop.Now()) > Milliseconds(20000)));
+  BOOST_TEST(f.table.Version() == 12U);
+  // Callers are served again as soon as the operator has written.
+  f.store.Put("config", "13");
+  f.loop.Advance(Milliseconds(300));
+  BOOST_TEST(f.table.Version() == 13U);
+  BOOST_TEST((*f.table.Age(f.loop.Now()) < Milliseconds(3500)));
+}
+
+// The same where only another instance has seen the version that the restored store lacks.
+BOOST_AUTO_TEST_CASE(version_that_another_instance_has_must_be_written_again) {
+  for (const bool leads : {false, true}) {
+    Fixture f;
+    f.store.Put("config", "12");
+    f.store.BackUp();
+    f.watcher.Start();
+    f.loop.Advance(Milliseconds(50));
+    f.store.m_down = true;
+    if (leads) {
+      f.watcher.OnInstanceVersion(15);
+    } else {
+      f.watcher.OnRelayedConfig(15, "", 0, f.loop.Now());
+    }
+    f.loop.Advance(Milliseconds(2000));
+    f.store.m_down = false;
+    f.store.Restore();
+    f.loop.Advance(Milliseconds(20000));
+    BOOST_TEST((*f.table.Age(f.loop.Now()) > Milliseconds(20000)));
+    f.store.Put("config", "15");
+    f.loop.Advance(Milliseconds(1000));
+    BOOST_TEST((*f.table.Age(f.loop.Now()) < Milliseconds(3500)));
+  }
+}
+
+// Guards against a leader that has not noticed the restore and relays what the store held before.
+BOOST_AUTO_TEST_CASE(entry_relayed_from_before_a_restore_confirms_nothing) {
+  Fixture f;
+  f.store.Put("config", "9");
+  f.store.BackUp();
+  f.store.Put("config", "12");
+  f.watcher.Start();
+  f.loop.Advance(Milliseconds(50));
+  const uint64_t revision = f.watcher.Confirmed()->revision;
+  const TimePoint confirmed = f.watcher.Confirmed()->confirmed_at;
+  f.store.m_down = true;
+  f.loop.Advance(Milliseconds(2000));
+  f.store.m_down = false;
+  f.store.Restore();
+  for (int i = 0; i < 50; ++i) {
+    f.loop.Advance(Milliseconds(100));
+    f.watcher.OnRelayedConfig(12, "", revision, confirmed);
+  }
+  BOOST_TEST((*f.table.Age(f.loop.Now()) > Milliseconds(6900)));
+}
+
 // Guards against the same where the copy holds the active version, but a later one was lost that
 // this instance has not seen.
 BOOST_AUTO_TEST_CASE(active_version_of_a_restored_store_confirms_after_the_grace_period) {
