Take a response without a length for whole only on later evidence

Cause: one check answered two questions, whether the process crashed and whether a response that ended with its connection is whole. It reused a result for 500 ms, so also for connections that ended after the query, and took an announced leaving and an absence from the list for proof that nothing was cut off. The class: an old answer or an absence taken for a success. Change: the questions are separate. A response is whole only if a query that was sent after its end is answered by the process that got the request; otherwise it counts as broken off, and streams resume elsewhere where the route allows. The process is noted when the request is sent, so that a leaving or unlisted one is asked, too. Looked for elsewhere: JSON bodies of the store and of reports that end with their connection are objects, so a truncated one does not parse and counts as a failed call; orders to engines are judged by their status alone.

--- a/src/forward/plain_exchange.cc
+++ b/src/forward/plain_exchange.cc
@@ -35,7 +35,8 @@
 // Request to one upstream.
 class Attempt final : public HttpCallHandler {
  public:
-  Attempt(PlainExchange* exchange, std::string id) : m_exchange(exchange), m_id(std::move(id)) {}
+  Attempt(PlainExchange* exchange, UpstreamProcess process)
+      : m_exchange(exchange), m_process(std::move(process)), m_id(m_process.id) {}
 
   bool OnHead(const HttpResponseHead& head) override;
   void OnBody(std::string_view bytes) override;
@@ -43,6 +44,7 @@
   void OnFailed(const HttpFailure& failure) override;
 
   PlainExchange* const m_exchange;
+  const UpstreamProcess m_process;
   const std::string m_id;  // ID of the upstream.
   std::shared_ptr<ClientCall> m_call;
   bool m_ended = false;  // The call is cancelled and the reservation released.
@@ -126,19 +128,19 @@
     Deliver(std::move(attempt->m_reply), "answered by " + attempt->m_id);
   }
 
-  // Handles a response that ended with its connection. It is whole unless the upstream exited.
+  // Handles a response that ended with its connection.
   void OnUnframedResponse(Attempt* attempt) {
-    m_context->exits->Check(attempt->m_id, [this, attempt, alive = std::weak_ptr<int>(m_alive)](
-                                               bool exited, int64_t /*started_ms*/) {
-      if (alive.expired() || Closed() || attempt->m_ended) {
-        return;
-      }
-      if (exited) {
-        OnConnectionEnded(attempt, "the upstream exited before its response had an end");
-      } else {
-        OnResponse(attempt);
-      }
-    });
+    m_context->exits->CheckWhole(
+        attempt->m_process, [this, attempt, alive = std::weak_ptr<int>(m_alive)](bool whole) {
+          if (alive.expired() || Closed() || attempt->m_ended) {
+            return;
+          }
+          if (whole) {
+            OnResponse(attempt);
+          } else {
+            OnConnectionEnded(attempt, "the response without an end is not proved whole");
+          }
+        });
   }
 
   void OnAttemptBroken(Attempt* attempt, const std::string& reason) {
@@ -157,30 +159,30 @@
     RecordFailure(attempt->m_id);
     // The crash counts even if the caller leaves before it is known.
     const auto record = [context = m_context, id = m_caller.id, parts = m_parts,
-                         upstream = attempt->m_id, ended_at](int64_t started_ms) {
-      context->quarantine->OnCrash(parts, MakeProcessId(upstream, started_ms), ended_at,
+                         process = attempt->m_process, ended_at] {
+      context->quarantine->OnCrash(parts, MakeProcessId(process.id, process.started_ms), ended_at,
                                    context->loop->Now());
       context->log->Write("engine_exited_under_request",
                           {{"request_id", id},
-                           {"upstream", upstream},
-                           {"started_ms", started_ms},
+                           {"upstream", process.id},
+                           {"started_ms", process.started_ms},
                            {"request", PartName(parts.front())}},
                           true);
     };
-    m_context->exits->Check(attempt->m_id,
-                            [this, record, reason, alive = std::weak_ptr<int>(m_alive)](
-                                bool exited, int64_t started_ms) {
-                              if (exited) {
-                                record(started_ms);
-                              }
-                              if (alive.expired() || Closed()) {
-                                return;
-                              }
-                              m_crashed |= exited;
-                              if (MayRetry()) {
-                                RetryOrGiveUp(reason);
-                              }
-                            });
+    m_context->exits->CheckCrash(
+        attempt->m_process,
+        [this, record, reason, alive = std::weak_ptr<int>(m_alive)](bool crashed) {
+          if (crashed) {
+            record();
+          }
+          if (alive.expired() || Closed()) {
+            return;
+          }
+          m_crashed |= crashed;
+          if (MayRetry()) {
+            RetryOrGiveUp(reason);
+          }
+        });
     if (!MayRetry()) {
       GiveUp(reason);
     }
@@ -232,7 +234,7 @@
     if (!endpoint) {
       return false;
     }
-    auto attempt = std::make_unique<Attempt>(this, id);
+    auto attempt = std::make_unique<Attempt>(this, ListedProcess(*m_context->fleet, id));
     attempt->m_sent_at = Now();
     HttpCallOptions options;
     options.endpoint = *endpoint;
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -200,15 +200,14 @@
     return;
   }
   EndAttempt();
-  m_context->exits->Check(m_path.hops.front().id, [this, alive = std::weak_ptr<int>(m_alive)](
-                                                      bool exited, int64_t /*started_ms*/) {
+  m_context->exits->CheckWhole(m_process, [this, alive = std::weak_ptr<int>(m_alive)](bool whole) {
     if (alive.expired() || Closed()) {
       return;
     }
-    if (exited) {
-      OnConnectionEnded("the engine exited between two events");
-    } else {
+    if (whole) {
       CompleteStream();
+    } else {
+      OnConnectionEnded("the stream without an end is not proved whole");
     }
   });
 }
@@ -302,6 +301,7 @@
   // An engine that refused this request may write the refusal again, under the same ID.
   const bool may_reuse = MayRetry() && m_refused_by.count(first.id) == 0;
   options.max_idle = may_reuse ? kMaxConnectionIdle : Milliseconds(0);
+  m_process = ListedProcess(*m_context->fleet, first.id);
   ++m_sends;
   m_context->quarantine->OnSent(m_parts, Now());
   m_context->queue->OnStarted(Now());
@@ -447,38 +447,37 @@
   m_excluded_engines.insert(first);
   // The crash counts even if the caller leaves before it is known.
   const auto record = [context = m_context, id = m_caller.id, names = m_caller.shared_parts,
-                       parts = m_parts, events = m_scanner.Events(), first, ended_at,
-                       beginning](int64_t started_ms) {
+                       parts = m_parts, events = m_scanner.Events(), process = m_process, ended_at,
+                       beginning] {
     if (beginning) {
-      context->quarantine->OnCrash(parts, MakeProcessId(first, started_ms), ended_at,
+      context->quarantine->OnCrash(parts, MakeProcessId(process.id, process.started_ms), ended_at,
                                    context->loop->Now());
     }
     context->log->Write("engine_exited_under_request",
                         {{"request_id", id},
-                         {"upstream", first},
-                         {"started_ms", started_ms},
+                         {"upstream", process.id},
+                         {"started_ms", process.started_ms},
                          {"events", events},
                          {"parts", names},
                          {"request", PartName(parts.back())}},
                         true);
   };
-  m_context->exits->Check(first,
-                          [this, record, ended_at, beginning, await_check, reason,
-                           alive = std::weak_ptr<int>(m_alive)](bool exited, int64_t started_ms) {
-                            if (exited) {
-                              record(started_ms);
-                            }
-                            if (alive.expired() || Closed()) {
-                              return;
-                            }
-                            if (exited && beginning) {
-                              m_crashed = true;
-                              m_crashed_at = ended_at;
-                            }
-                            if (await_check) {
-                              Retry(reason, true);
-                            }
-                          });
+  m_context->exits->CheckCrash(m_process, [this, record, ended_at, beginning, await_check, reason,
+                                           alive = std::weak_ptr<int>(m_alive)](bool crashed) {
+    if (crashed) {
+      record();
+    }
+    if (alive.expired() || Closed()) {
+      return;
+    }
+    if (crashed && beginning) {
+      m_crashed = true;
+      m_crashed_at = ended_at;
+    }
+    if (await_check) {
+      Retry(reason, true);
+    }
+  });
   if (!await_check && !Closed()) {
     Retry(reason, true);
   }
--- a/src/forward/stream_exchange.h
+++ b/src/forward/stream_exchange.h
@@ -171,6 +171,7 @@
   // ---- Current attempt ----
   bool m_attempt_active = false;  // `m_path` is reserved and `m_call` is running.
   EnginePath m_path;
+  UpstreamProcess m_process;  // First engine of the path.
   std::shared_ptr<ClientCall> m_call;
   UpstreamResponse m_response_info;
   int m_attempt_status = 0;
--- a/tests/support/fake_gateway.h
+++ b/tests/support/fake_gateway.h
@@ -194,7 +194,9 @@
   void QueryReport(const std::string& /*address*/, Milliseconds /*limit*/,
                    std::function<void(Result<EngineReport>)> done) override {
     ++report_queries;
-    if (refuses) {
+    if (holds) {
+      held.push_back(std::move(done));
+    } else if (refuses) {
       done(Unknown(ResultCode::kUpstreamUnreachable, "refused"));
     } else if (silent) {
       done(Unknown(ResultCode::kUpstreamTimeout, "silent"));
@@ -212,6 +214,8 @@
   }
 
   int report_queries = 0;
+  bool holds = false;  // Report queries wait in `held` for the test.
+  std::vector<std::function<void(Result<EngineReport>)>> held;
   bool silent = false;   // Report queries time out.
   bool refuses = false;  // Connections for report queries are refused.
   EngineReport report;
@@ -263,6 +267,7 @@
     budget.SetInstances(10, loop.Now());
     context.wire = &wire;
     context.engines = &engines;
+    engines.report.started_ms = 1;  // As listed.
     context.exits = &exits;
     context.quarantine = &quarantine;
     context.log = &log;
