Pass long responses on as they arrive

Cause: two limits that contradict each other. A plain response was held whole up to 8 MiB and handed over in one piece, but a connection with over 4 MiB unsent was reset as one whose caller reads too slowly. Change: a plain response is held up to 64 KiB, so that a broken one can be replaced. A longer one that is sealed and final is begun with these bytes and passed on as it arrives, with its length if that is stated; its upstream is not read while 64 KiB wait for the caller. One that breaks off is broken off, one without a length needs proof that it is whole. Streams wait for their callers in the same way, and the silence meanwhile is not taken for the engine's. The body of a request is shared by all sends instead of copied for each.

--- a/include/azuregw/forward/exchange.h
+++ b/include/azuregw/forward/exchange.h
@@ -3,6 +3,7 @@
 #ifndef AZUREGW_FORWARD_EXCHANGE_H_
 #define AZUREGW_FORWARD_EXCHANGE_H_
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -59,7 +60,7 @@
 
 // Request as received from a caller, with its body.
 struct IncomingRequest {
-  HttpRequest message;
+  HttpRequest message;  // The exchange moves the body out of it.
   TimePoint arrived;
 };
 
@@ -78,14 +79,18 @@
   virtual ~CallerResponder() = default;
   // Sends the complete response.
   virtual void SendResponse(BufferedResponse reply) = 0;
-  // Sends the status and header fields of a chunked response; `head.body` is ignored.
-  virtual void BeginStream(const BufferedResponse& head) = 0;
-  // Sends part of the body of a chunked response.
+  // Sends the status and header fields of a response that is sent in parts; `head.body` is ignored.
+  // The response is chunked unless its `length` is known.
+  virtual void BeginStream(const BufferedResponse& head, std::optional<uint64_t> length) = 0;
+  // Sends part of the body after BeginStream().
   virtual void SendChunk(std::string_view bytes) = 0;
-  // Ends a chunked response as complete.
+  // Ends the response as complete. All of its `length` must have been sent.
   virtual void EndStream() = 0;
   // Closes the connection so that the caller cannot take the response for complete.
   virtual void AbortStream() = 0;
+  // Returns whether the caller has not read kUnsentWindowBytes of the response yet. The exchange
+  // then sends no more until OnCallerReads().
+  virtual bool Backlogged() const = 0;
 };
 
 // Forwarding of one request. Destroying an exchange cancels its requests to upstreams.
@@ -94,6 +99,8 @@
   virtual ~ForwardExchange() = default;
   // Starts forwarding; may call the responder before it returns.
   virtual void Start() = 0;
+  // The caller has read enough of a response that was backlogged.
+  virtual void OnCallerReads() {}
 };
 
 // Matches the route and creates the exchange for it. A request that is rejected without an upstream
--- a/include/azuregw/net/http_client.h
+++ b/include/azuregw/net/http_client.h
@@ -28,6 +28,9 @@
   // idle connection while the request is on its way, which leaves its outcome unknown.
   Milliseconds max_idle{0};
   Milliseconds connect_timeout{1000};
+  // Body of the request in place of request.body(), which then must be empty. Several calls share
+  // it, so that a large request is held once. The request states its length.
+  std::shared_ptr<const std::string> shared_body;
 };
 
 struct HttpFailure {
@@ -59,6 +62,9 @@
   virtual ~ClientCall() = default;
   // Closes the connection; the handler receives no further event and may be destroyed.
   virtual void Cancel() = 0;
+  // Reads no more of the answer until Resume(), so that the server has to wait.
+  virtual void Pause() = 0;
+  virtual void Resume() = 0;
   // Whether any byte of the request was handed to the network.
   virtual bool MaybeSent() const = 0;
   // Whether the connection has served another call before. Bytes that its server wrote too often
--- a/src/forward/caller_listener.cc
+++ b/src/forward/caller_listener.cc
@@ -24,6 +24,7 @@
 #include <string>
 #include <utility>
 
+#include "azuregw/forward/transfer_limits.h"
 #include "azuregw/net/endpoint.h"
 #include "forward/exchange_base.h"
 
@@ -40,9 +41,6 @@
 constexpr Milliseconds kDefaultIdleTimeout{10000};
 // Idle timeout of connections after a stop signal.
 constexpr Milliseconds kDrainIdleTimeout{2500};
-// Limit of response bytes buffered per connection. A connection whose caller reads too slowly is
-// reset.
-constexpr size_t kMaxUnsentBytes = size_t{4} << 20;
 // Delay after accept() failed, for example for lack of file descriptors.
 constexpr Milliseconds kAcceptRetryDelay{50};
 
@@ -65,10 +63,11 @@
 
   // ---- CallerResponder ----
   void SendResponse(BufferedResponse reply) override;
-  void BeginStream(const BufferedResponse& head) override;
+  void BeginStream(const BufferedResponse& head, std::optional<uint64_t> length) override;
   void SendChunk(std::string_view bytes) override;
   void EndStream() override;
   void AbortStream() override { Abort(); }
+  bool Backlogged() const override { return m_unsent_bytes >= kUnsentWindowBytes; }
 
  private:
   CallerLimits Limits() const {
@@ -113,6 +112,7 @@
   std::unique_ptr<ForwardExchange> m_exchange;  // Set while a request is served.
   bool m_keep_alive = false;
   bool m_head_request = false;
+  bool m_chunked = false;              // The response that is sent in parts is chunked.
   bool m_response_queued = false;      // True once the end of the response is queued.
   bool m_waiting_for_request = false;  // True while no byte of the next request has arrived.
   bool m_draining = false;
@@ -337,26 +337,33 @@
   Write(std::move(bytes));
 }
 
-void CallerConnection::BeginStream(const BufferedResponse& head) {
+void CallerConnection::BeginStream(const BufferedResponse& head, std::optional<uint64_t> length) {
   http::response<http::empty_body> message;
   static_cast<HttpFields&>(message) = head.fields;
   message.result(static_cast<unsigned>(head.status));
   message.version(11);
   m_keep_alive = m_keep_alive && !m_draining;
   message.keep_alive(m_keep_alive);
-  message.chunked(true);
+  m_chunked = !length;
+  if (length) {
+    message.content_length(*length);
+  } else {
+    message.chunked(true);
+  }
   std::ostringstream text;
   text << message.base();
   Write(text.str());
 }
 
 void CallerConnection::SendChunk(std::string_view bytes) {
-  Write(beast::buffers_to_string(http::make_chunk(asio::const_buffer(bytes.data(), bytes.size()))));
+  Write(m_chunked ? beast::buffers_to_string(
+                        http::make_chunk(asio::const_buffer(bytes.data(), bytes.size())))
+                  : std::string(bytes));
 }
 
 void CallerConnection::EndStream() {
   m_response_queued = true;
-  Write(beast::buffers_to_string(http::make_chunk_last()));
+  Write(m_chunked ? beast::buffers_to_string(http::make_chunk_last()) : std::string());
 }
 
 void CallerConnection::Write(std::string bytes) {
@@ -400,11 +407,15 @@
                       if (self->m_closed) {
                         return;
                       }
+                      const bool backlogged = self->Backlogged();
                       self->m_unsent_bytes -= std::min(self->m_unsent_bytes, bytes->size());
                       if (error) {
                         self->Close();
                         return;
                       }
+                      if (backlogged && self->m_exchange != nullptr && !self->Backlogged()) {
+                        self->m_exchange->OnCallerReads();
+                      }
                       self->WriteNext();
                     });
 }
--- a/src/forward/exchange_base.cc
+++ b/src/forward/exchange_base.cc
@@ -128,6 +128,7 @@
 ExchangeBase::ExchangeBase(ForwardContext* context, IncomingRequest request, CallerRequest caller,
                            RouteMatch match, CallerResponder* responder)
     : m_context(context),
+      m_body(std::make_shared<const std::string>(std::move(request.message.body()))),
       m_request(std::move(request)),
       m_caller(std::move(caller)),
       m_match(std::move(match)),
@@ -157,7 +158,7 @@
   const auto method = m_request.message.method_string();
   const auto target = m_request.message.target();
   return MakeRequestPartId(m_service, m_caller.key, {method.data(), method.size()},
-                           {target.data(), target.size()}, m_request.message.body());
+                           {target.data(), target.size()}, *m_body);
 }
 
 void ExchangeBase::RecordStatements(const std::string& upstream, const UpstreamResponse& answer,
@@ -190,7 +191,12 @@
   forwarded.resume_after = resume_after;
   m_context->wire->WriteForwardedHeaders(forwarded, &message);
   message.version(11);
-  message.prepare_payload();
+  // prepare_payload() would throw for a TRACE request with a body.
+  const http::verb method = message.method();
+  if (!m_body->empty() || method == http::verb::options || method == http::verb::put ||
+      method == http::verb::post) {
+    message.content_length(m_body->size());
+  }
   return message;
 }
 
--- a/src/forward/exchange_base.h
+++ b/src/forward/exchange_base.h
@@ -39,6 +39,7 @@
   void RecordStatements(const std::string& upstream, const UpstreamResponse& answer,
                         TimePoint sent_at);
   // Returns the caller's request with the header fields for an upstream and the current time left.
+  // Its body is m_body.
   HttpRequest ForwardedMessage(const std::string& upstream_id, gsl::span<const PathHop> path,
                                const std::optional<std::string>& resume_after) const;
 
@@ -63,7 +64,9 @@
   const RouteSpec& Route() const { return *m_match.route; }
 
   ForwardContext* const m_context;
-  const IncomingRequest m_request;
+  // Body of the request, shared by all sends.
+  const std::shared_ptr<const std::string> m_body;
+  const IncomingRequest m_request;  // Without its body.
   const CallerRequest m_caller;
   const RouteMatch m_match;
   CallerResponder* const m_responder;
--- a/src/forward/plain_exchange.cc
+++ b/src/forward/plain_exchange.cc
@@ -1,10 +1,13 @@
 // Exchange for a request with a buffered response, from a service without engines.
 
 #include <algorithm>
+#include <charconv>
+#include <system_error>
 #include <utility>
 #include <vector>
 
 #include "azuregw/fleet/upstream_picker.h"
+#include "azuregw/forward/transfer_limits.h"
 #include "forward/exchange_base.h"
 
 namespace azuregw {
@@ -26,9 +29,17 @@
 // Time for which an upstream is suspect after kFailuresInARow consecutive failures.
 constexpr Milliseconds kFailureSuspectTime{1000};
 constexpr int kFailuresInARow = 3;
-// Limit of a response body. Responses are buffered until they are complete, so that a broken one
-// can be replaced.
-constexpr size_t kMaxResponseBytes = size_t{8} << 20;
+
+// Returns the stated length of a response's body; nullopt if it is chunked or ends with its
+// connection.
+std::optional<uint64_t> ContentLength(const HttpResponseHead& head) {
+  const auto text = head[boost::beast::http::field::content_length];
+  uint64_t length = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
+  const bool valid = !text.empty() && error == std::errc() && end == text.data() + text.size() &&
+                     head.count(boost::beast::http::field::transfer_encoding) == 0;
+  return valid ? std::optional<uint64_t>(length) : std::nullopt;
+}
 
 class PlainExchange;
 
@@ -51,12 +62,16 @@
   TimePoint m_sent_at;
   BufferedResponse m_reply;
   UpstreamResponse m_response_info;
-  bool m_framed = false;  // The response states where it ends.
+  bool m_framed = false;             // The response states where it ends.
+  std::optional<uint64_t> m_length;  // Length of its body, if stated.
 };
 
 // Sends a request that may run once again only while it is proved that no upstream ran it. For a
 // repeatable request, sends a hedged request to a second upstream if the first one fails or is
 // slow; the first good response wins.
+//
+// A response of up to kHeldResponseBytes is held until it is complete, so that a broken one can be
+// replaced. A longer one is passed on as it arrives, while its upstream waits for the caller.
 class PlainExchange final : public ExchangeBase {
  public:
   using ExchangeBase::ExchangeBase;
@@ -94,7 +109,8 @@
     return answer.request_id == m_caller.id || (answer.request_id.empty() && !call.Reused());
   }
 
-  void OnResponse(Attempt* attempt) {
+  // Handles a response that is complete, or longer than kHeldResponseBytes.
+  void OnResponse(Attempt* attempt, bool complete) {
     const UpstreamResponse answer = attempt->m_response_info;
     const int status = attempt->m_reply.status;
     RecordStatements(attempt->m_id, answer, attempt->m_sent_at);
@@ -118,16 +134,50 @@
     }
     m_context->fleet->OnProgress(attempt->m_id, Now());
     m_context->quarantine->OnAnswer(m_parts, Now());
-    if (status >= 500 && MayRetry()) {
-      m_failed_response = std::move(attempt->m_reply);
+    // A long error response is replaced only while another attempt is allowed.
+    const bool replaceable = complete || m_sends < Route().max_attempts;
+    if (status >= 500 && MayRetry() && replaceable) {
+      if (complete) {
+        m_failed_response = std::move(attempt->m_reply);
+      }
       OnAttemptBroken(attempt, "status " + std::to_string(status));
       return;
     }
+    if (!complete) {
+      PassOn(attempt);
+      return;
+    }
     End(attempt);
     EndAllAttempts();
     Deliver(std::move(attempt->m_reply), "answered by " + attempt->m_id);
   }
 
+  // Handles more bytes of the response that is passed on.
+  void OnMoreBytes(Attempt* attempt, std::string_view bytes) {
+    m_responder->SendChunk(bytes);
+    if (!Closed() && m_responder->Backlogged()) {
+      attempt->m_call->Pause();
+    }
+  }
+  bool IsPassedOn(const Attempt* attempt) const { return m_passed_on == attempt; }
+
+  void OnCallerReads() override {
+    if (m_passed_on != nullptr && !Closed()) {
+      m_passed_on->m_call->Resume();
+    }
+  }
+
+  // Handles the end of a response.
+  void OnComplete(Attempt* attempt) {
+    if (IsPassedOn(attempt)) {
+      End(attempt);
+      Close(attempt->m_reply.status, "delivered", "answered by " + attempt->m_id);
+      m_responder->EndStream();
+    } else {
+      OnResponse(attempt, true);
+    }
+  }
+
   // Handles a response that ended with its connection.
   void OnUnframedResponse(Attempt* attempt) {
     m_context->exits->CheckWhole(
@@ -136,7 +186,7 @@
             return;
           }
           if (whole) {
-            OnResponse(attempt);
+            OnComplete(attempt);
           } else {
             OnConnectionEnded(attempt, "the response without an end is not proved whole");
           }
@@ -212,7 +262,9 @@
       }
     }
     EndAllAttempts();
-    if (run) {
+    if (m_passed_on != nullptr) {
+      BreakOff("the deadline has passed");
+    } else if (run) {
       Fail(ResultCode::kUpstreamTimeout, "no answer before the deadline");
     } else {
       Refuse(ResultCode::kDeadlineUnreachable, "no upstream took the request in time",
@@ -240,6 +292,7 @@
     options.endpoint = *endpoint;
     options.connect_timeout = kConnectTimeout;
     options.max_idle = MayRetry() ? kRepeatableMaxIdle : kOrderMaxIdle;
+    options.shared_body = m_body;
     ++m_sends;
     m_context->quarantine->OnSent(m_parts, Now());
     m_context->fleet->Reserve(id, 0);
@@ -283,8 +336,8 @@
   }
 
   void RetryOrGiveUp(const std::string& reason) {
-    if (MayRetry() && m_sends < Route().max_attempts && !Block() && TakeRetry() &&
-        StartNextAttempt()) {
+    if (m_passed_on == nullptr && MayRetry() && m_sends < Route().max_attempts && !Block() &&
+        TakeRetry() && StartNextAttempt()) {
       return;
     }
     GiveUp(reason);
@@ -302,7 +355,9 @@
     if (Closed() || HasRunningAttempt()) {
       return;
     }
-    if (m_failed_response) {
+    if (m_passed_on != nullptr) {
+      BreakOff(reason);
+    } else if (m_failed_response) {
       Deliver(std::move(*m_failed_response), "the upstream failed: " + reason);
     } else if (m_sends > 0) {
       Fail(ResultCode::kUpstreamProtocol, reason);
@@ -311,6 +366,27 @@
     }
   }
 
+  // Begins the response to the caller with that of `attempt`, whose rest follows as it arrives.
+  void PassOn(Attempt* attempt) {
+    m_passed_on = attempt;
+    m_hedge_timer.reset();
+    for (const auto& other : m_attempts) {
+      if (other.get() != attempt) {
+        End(other.get());
+      }
+    }
+    m_context->metrics->Add("azuregw_long_responses_total", "", 1);
+    const std::string begin = std::move(attempt->m_reply.body);
+    m_responder->BeginStream(attempt->m_reply, attempt->m_length);
+    OnMoreBytes(attempt, begin);
+  }
+
+  // Ends a response that is partly sent so that it cannot look complete.
+  void BreakOff(const std::string& reason) {
+    Close(m_passed_on->m_reply.status, "broken_off", reason);
+    m_responder->AbortStream();
+  }
+
   std::optional<Milliseconds> RetryAfterTime() const {
     // Callers accept at most a third of the time left.
     return std::max(std::min(TimeLeft() / 4, Milliseconds(500)),
@@ -363,7 +439,8 @@
   const std::shared_ptr<int> m_alive = std::make_shared<int>(0);  // Expires with the exchange.
   std::vector<std::unique_ptr<Attempt>> m_attempts;
   std::optional<BufferedResponse> m_failed_response;  // Delivered if no attempt succeeds.
-  int m_refusals = 0;                                 // Number of sends that provably did not run.
+  Attempt* m_passed_on = nullptr;  // Its response is sent to the caller as it arrives.
+  int m_refusals = 0;              // Number of sends that provably did not run.
   std::unique_ptr<Timer> m_hedge_timer;
 };
 
@@ -374,22 +451,26 @@
   }
   m_framed = head.count(boost::beast::http::field::transfer_encoding) > 0 ||
              head.count(boost::beast::http::field::content_length) > 0;
+  m_length = ContentLength(head);
   m_reply.status = static_cast<int>(head.result_int());
   m_reply.fields = EndToEndFields(head);
   return true;
 }
 
 void Attempt::OnBody(std::string_view bytes) {
-  if (m_reply.body.size() + bytes.size() > kMaxResponseBytes) {
-    m_exchange->OnAttemptBroken(this, "the response is too large");
+  if (m_exchange->IsPassedOn(this)) {
+    m_exchange->OnMoreBytes(this, bytes);
     return;
   }
   m_reply.body.append(bytes);
+  if (m_reply.body.size() > kHeldResponseBytes) {
+    m_exchange->OnResponse(this, false);
+  }
 }
 
 void Attempt::OnDone() {
   if (m_framed) {
-    m_exchange->OnResponse(this);
+    m_exchange->OnComplete(this);
   } else {
     m_exchange->OnUnframedResponse(this);
   }
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -6,6 +6,8 @@
 #include <utility>
 #include <vector>
 
+#include "azuregw/forward/transfer_limits.h"
+
 namespace azuregw {
 namespace {
 
@@ -48,10 +50,6 @@
 constexpr Milliseconds kMaxResumeWait{1200};
 // Jitter of the time to come back when engines want requests again, as a share of it.
 constexpr double kOpenDelayJitter = 0.1;
-// Limit of an error response that is buffered for the caller.
-constexpr size_t kMaxErrorBodyBytes = size_t{1} << 20;
-// Limit of one event of a stream; usual ones take a few hundred bytes.
-constexpr size_t kMaxEventBytes = size_t{256} << 10;
 
 }  // namespace
 
@@ -153,7 +151,7 @@
   if (!m_streaming) {
     m_last_bytes = now;
     m_error_body_bytes += bytes.size();
-    if (m_error_body_bytes > kMaxErrorBodyBytes) {
+    if (m_error_body_bytes > kMaxErrorResponseBytes) {
       OnAttemptBroken("the error response is too large", m_path.hops.front().id);
     } else if (!m_head_sent) {
       m_response.body.append(bytes);
@@ -217,7 +215,7 @@
   EndAttempt();
   if (!m_head_sent) {
     m_head_sent = true;
-    m_responder->BeginStream(m_response);
+    m_responder->BeginStream(m_response, std::nullopt);
   }
   m_context->metrics->ObserveLatency("azuregw_longest_pause_ms", "",
                                      static_cast<double>(m_longest_pause.count()));
@@ -301,6 +299,7 @@
   // An engine that refused this request may write the refusal again, under the same ID.
   const bool may_reuse = MayRetry() && m_refused_by.count(first.id) == 0;
   options.max_idle = may_reuse ? kMaxConnectionIdle : Milliseconds(0);
+  options.shared_body = m_body;
   m_process = ListedProcess(*m_context->fleet, first.id);
   ++m_sends;
   m_context->quarantine->OnSent(m_parts, Now());
@@ -347,6 +346,7 @@
   }
   m_attempt_active = false;
   m_rerouting = false;
+  m_paused = false;
   ++m_query_generation;
   m_context->monitor->End(this);
   m_silence_timer.reset();
@@ -369,7 +369,7 @@
     m_first_event_delay = std::chrono::duration_cast<Milliseconds>(now - m_request.arrived);
     m_context->metrics->ObserveLatency("azuregw_first_event_ms", "",
                                        static_cast<double>(m_first_event_delay.count()));
-    m_responder->BeginStream(m_response);
+    m_responder->BeginStream(m_response, std::nullopt);
   } else {
     m_longest_pause =
         std::max(m_longest_pause, std::chrono::duration_cast<Milliseconds>(now - m_last_sent_time));
@@ -379,6 +379,25 @@
     m_last_sent_id = m_scanner.LastId();
   }
   m_responder->SendChunk(events);
+  if (!Closed() && m_attempt_active && m_responder->Backlogged()) {
+    m_paused = true;
+    m_call->Pause();
+    // The silence that follows is the caller's.
+    m_context->monitor->End(this);
+    m_silence_timer.reset();
+  }
+}
+
+void StreamExchange::OnCallerReads() {
+  if (!m_paused || !m_attempt_active) {
+    return;
+  }
+  m_paused = false;
+  m_last_bytes = Now();
+  m_silence_checks = 0;
+  BeginMonitoring();
+  StartSilenceTimer();
+  m_call->Resume();
 }
 
 void StreamExchange::OnNonStreamResponse() {
--- a/src/forward/stream_exchange.h
+++ b/src/forward/stream_exchange.h
@@ -39,6 +39,8 @@
 
   void Start() override;
 
+  void OnCallerReads() override;
+
   // ---- StreamWaiter ----
 
   bool TryStart() override;
@@ -180,6 +182,7 @@
   // The response states where it ends. Otherwise it ends with the connection, also if the engine
   // exits between two events.
   bool m_framed = false;
+  bool m_paused = false;           // The engine waits, since the caller does not read.
   bool m_answer_recorded = false;  // RecordAnswer() was called.
   bool m_resumed = false;          // The attempt resumes after `m_last_sent_id`.
   TimePoint m_attempt_started;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -11,6 +11,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <deque>
 #include <limits>
@@ -41,6 +42,8 @@
 constexpr int kMaxForeignAnswers = 3;
 // Kept connections per server. More than that are open only during bursts.
 constexpr size_t kMaxIdlePerEndpoint = 16;
+// Limit of the received bytes that wait in the system while a call is paused.
+constexpr int kReceiveBufferBytes = 64 * 1024;
 // Ends a connection whose peer acknowledges nothing, such as one behind a partition.
 constexpr int kUserTimeoutMs = 3000;
 
@@ -61,6 +64,7 @@
         m_loop(loop),
         m_options(options),
         m_request(std::move(request)),
+        m_is_head_request(m_request.method() == http::verb::head),
         m_handler(handler),
         m_timer(*loop) {}
 
@@ -73,6 +77,19 @@
       m_connection->socket.close(ignored);
     }
   }
+  void Pause() override { m_paused = true; }
+  void Resume() override {
+    m_paused = false;
+    if (m_read_due && m_handler != nullptr) {
+      m_read_due = false;
+      // The caller may be inside a handler of this call.
+      asio::post(*m_loop, [self = shared_from_this()] {
+        if (self->m_handler != nullptr) {
+          self->ReadBody();
+        }
+      });
+    }
+  }
   bool MaybeSent() const override { return m_writing; }
   bool Reused() const override { return m_reused; }
 
@@ -88,6 +105,9 @@
   asio::io_context* const m_loop;
   const HttpCallOptions m_options;
   HttpRequest m_request;
+  const bool m_is_head_request;
+  // Takes the place of `m_request` when the body is shared.
+  std::optional<http::request<http::span_body<const char>>> m_shared_request;
   HttpCallHandler* m_handler;  // Null after the last event.
   asio::steady_timer m_timer;
   std::unique_ptr<Connection> m_connection;
@@ -97,7 +117,9 @@
   bool m_reused = false;   // The connection was kept from another call.
   bool m_written = false;  // The whole request was written.
   bool m_refused = false;  // The host refused the connection.
-  bool m_foreign = false;  // The answer being read belongs to another request.
+  bool m_paused = false;
+  bool m_read_due = false;  // ReadBody() was put off while the call was paused.
+  bool m_foreign = false;   // The answer being read belongs to another request.
   int m_foreign_answers = 0;
   int m_interim_responses = 0;
 };
@@ -192,6 +214,10 @@
       self->Fail("no connection within the time limit", false);
     }
   });
+  error_code ignored;  // Without the limit, a paused answer only takes more memory.
+  m_connection->socket.open(tcp::v4(), ignored);
+  m_connection->socket.set_option(asio::socket_base::receive_buffer_size(kReceiveBufferBytes),
+                                  ignored);
   m_connection->socket.async_connect(m_options.endpoint, [self](error_code error) {
     if (self->m_handler == nullptr) {
       return;
@@ -214,11 +240,17 @@
 
 void BeastCall::Write() {
   m_writing = true;
-  auto self = shared_from_this();
-  http::async_write(m_connection->socket, m_request, [self](error_code error, size_t) {
-    // A server may answer before it has read everything, so the answer decides.
+  // A server may answer before it has read everything, so the answer decides.
+  const auto written = [self = shared_from_this()](error_code error, size_t) {
     self->m_written = !error;
-  });
+  };
+  if (m_options.shared_body != nullptr && !m_options.shared_body->empty()) {
+    m_shared_request.emplace(std::move(m_request.base()));
+    m_shared_request->body() = {m_options.shared_body->data(), m_options.shared_body->size()};
+    http::async_write(m_connection->socket, *m_shared_request, written);
+  } else {
+    http::async_write(m_connection->socket, m_request, written);
+  }
   ReadHead();
 }
 
@@ -226,7 +258,7 @@
   m_parser.emplace();
   m_parser->header_limit(kMaxResponseHeaderBytes);
   m_parser->body_limit(std::numeric_limits<uint64_t>::max());
-  if (m_request.method() == http::verb::head) {
+  if (m_is_head_request) {
     m_parser->skip(true);
   }
   auto self = shared_from_this();
@@ -268,6 +300,10 @@
     Finish();
     return;
   }
+  if (m_paused) {
+    m_read_due = true;
+    return;
+  }
   auto& body = m_parser->get().body();
   body.data = m_body.data();
   body.size = m_body.size();
--- a/tests/forward/plain_exchange_test.cc
+++ b/tests/forward/plain_exchange_test.cc
@@ -1,8 +1,11 @@
 // Tests of exchanges with buffered responses: sends to upstreams and responses to the caller.
 
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <string>
+#include <utility>
 
+#include "azuregw/forward/transfer_limits.h"
 #include "tests/support/fake_gateway.h"
 
 namespace azuregw {
@@ -197,6 +200,127 @@
   }
 }
 
+// Guards against responses that are lost because of their size after the order has run: they are
+// passed on as they arrive.
+BOOST_AUTO_TEST_CASE(long_response_is_passed_on_as_it_arrives) {
+  for (const bool stated : {true, false}) {
+    GatewayFixture f;
+    const auto exchange = f.Start("/order/1");
+    const std::string part(kHeldResponseBytes, 'a');
+    if (stated) {
+      f.Call(0).length = 3 * part.size();
+    }
+    f.Call(0).SendHead(200, true);
+    f.Call(0).SendBody(part);
+    BOOST_TEST(!f.responder.begun);
+    f.Call(0).SendBody(part);
+    BOOST_TEST(f.responder.begun);
+    BOOST_TEST((f.responder.length == f.Call(0).length));
+    BOOST_TEST(f.responder.body.size() == 2 * part.size());
+    f.Call(0).SendBody(part);
+    f.Call(0).Finish();
+    BOOST_TEST(f.responder.complete);
+    BOOST_TEST(f.responder.status == 200);
+    BOOST_TEST(f.responder.body.size() == 3 * part.size());
+    BOOST_TEST(f.responder.ends == 1);
+    BOOST_TEST(f.Reserved() == 0);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(upstream_waits_for_a_caller_that_does_not_read) {
+  GatewayFixture f;
+  const auto exchange = f.Start("/order/1");
+  f.Call(0).SendHead(200, true);
+  f.responder.backlogged = true;
+  f.Call(0).SendBody(std::string(kHeldResponseBytes + 1, 'a'));
+  BOOST_TEST(f.Call(0).paused);
+  f.responder.backlogged = false;
+  exchange->OnCallerReads();
+  BOOST_TEST(!f.Call(0).paused);
+  f.Call(0).Finish();
+  BOOST_TEST(f.responder.complete);
+}
+
+// A response that is partly sent cannot be replaced, and must not look complete.
+BOOST_AUTO_TEST_CASE(long_response_that_breaks_off_is_broken_off) {
+  for (const char* const target : {"/order/1", "/look/1"}) {
+    GatewayFixture f;
+    const auto exchange = f.Start(target);
+    f.Call(0).SendHead(200, true);
+    f.Call(0).SendBody(std::string(kHeldResponseBytes + 1, 'a'));
+    f.Call(0).Fail(true);
+    BOOST_TEST(f.responder.broken);
+    BOOST_TEST(f.responder.ends == 1);
+    BOOST_TEST(f.client.calls.size() == 1U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(long_unframed_response_needs_proof_that_it_is_whole) {
+  for (const bool runs : {true, false}) {
+    GatewayFixture f;
+    f.engines.silent = !runs;
+    const auto exchange = f.Start("/order/1");
+    f.Call(0).framed = false;
+    f.Call(0).SendHead(200, true);
+    f.Call(0).SendBody(std::string(kHeldResponseBytes + 1, 'a'));
+    f.Call(0).Finish();
+    BOOST_TEST(f.responder.complete == runs);
+    BOOST_TEST(f.responder.broken == !runs);
+    BOOST_TEST(f.responder.ends == 1);
+  }
+}
+
+// Only sealed responses that may be final are passed on before their end.
+BOOST_AUTO_TEST_CASE(long_response_without_seal_is_not_passed_on) {
+  GatewayFixture f;
+  const auto exchange = f.Start("/order/1");
+  f.Call(0).SendHead(200, false);
+  f.Call(0).SendBody(std::string(kHeldResponseBytes + 1, 'a'));
+  BOOST_TEST(!f.responder.begun);
+  BOOST_TEST(f.responder.status == 502);
+}
+
+BOOST_AUTO_TEST_CASE(long_error_response_is_replaced_while_another_attempt_is_allowed) {
+  GatewayFixture f;
+  const auto exchange = f.Start("/look/1");
+  f.Call(0).SendHead(500, true);
+  f.Call(0).SendBody(std::string(kHeldResponseBytes + 1, 'a'));
+  BOOST_REQUIRE(f.client.calls.size() == 2U);
+  BOOST_TEST(!f.responder.begun);
+  f.Call(1).SendHead(500, true);
+  f.Call(1).SendBody(std::string(kHeldResponseBytes + 1, 'b'));
+  BOOST_TEST(f.responder.begun);
+  f.Call(1).Finish();
+  BOOST_TEST(f.responder.complete);
+  BOOST_TEST(f.responder.status == 500);
+}
+
+BOOST_AUTO_TEST_CASE(long_response_is_broken_off_at_the_deadline) {
+  GatewayFixture f;
+  const auto exchange = f.Start("/order/1");
+  f.Call(0).SendHead(200, true);
+  f.Call(0).SendBody(std::string(kHeldResponseBytes + 1, 'a'));
+  f.loop.Advance(Milliseconds(20001));
+  BOOST_TEST(f.responder.broken);
+  BOOST_TEST(f.Call(0).Cancelled());
+}
+
+// Guards against an exception of the HTTP library, which refuses to frame such a request.
+BOOST_AUTO_TEST_CASE(trace_request_with_a_body_is_forwarded) {
+  GatewayFixture f;
+  IncomingRequest request;
+  request.message = HttpRequest(boost::beast::http::verb::trace, "/order/1", 11);
+  request.message.set("Host", "h");
+  request.message.set("Id", "r1");
+  request.message.set("Key", "k");
+  request.message.body() = "payload";
+  request.arrived = f.loop.Now();
+  const auto exchange = MakeExchange(&f.context, std::move(request), &f.responder);
+  exchange->Start();
+  BOOST_REQUIRE(f.client.calls.size() == 1U);
+  BOOST_TEST(f.Call(0).request["Content-Length"] == "7");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/forward/stream_exchange_test.cc
+++ b/tests/forward/stream_exchange_test.cc
@@ -507,6 +507,26 @@
   }
 }
 
+// Guards against memory that a caller takes by not reading, and against its silence being taken for
+// that of the engine.
+BOOST_AUTO_TEST_CASE(engine_waits_for_a_caller_that_does_not_read) {
+  GatewayFixture f;
+  const auto exchange = f.Start("/stream/1");
+  f.Call(0).SendHead(200, true);
+  f.responder.backlogged = true;
+  f.Call(0).SendBody("id: 1\ndata: x\n\n");
+  BOOST_TEST(f.Call(0).paused);
+  f.loop.Advance(Milliseconds(5000));
+  BOOST_TEST(f.client.calls.size() == 1U);
+  BOOST_TEST(!f.Call(0).Cancelled());
+  f.responder.backlogged = false;
+  exchange->OnCallerReads();
+  BOOST_TEST(!f.Call(0).paused);
+  f.Call(0).SendBody("id: 2\ndata: y\n\n");
+  f.Call(0).Finish();
+  BOOST_TEST(f.responder.complete);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/support/fake_gateway.h
+++ b/tests/support/fake_gateway.h
@@ -24,9 +24,13 @@
 class FakeClientCall final : public ClientCall {
  public:
   FakeClientCall(HttpCallOptions call_options, HttpRequest call_request, HttpCallHandler* handler)
-      : options(std::move(call_options)), request(std::move(call_request)), m_handler(handler) {}
+      : options(std::move(call_options)),
+        request(WithBody(std::move(call_request), options.shared_body)),
+        m_handler(handler) {}
 
   void Cancel() override { m_handler = nullptr; }
+  void Pause() override { paused = true; }
+  void Resume() override { paused = false; }
   bool MaybeSent() const override { return true; }
   bool Reused() const override { return reused; }
   // Returns true once the call is cancelled, finished or failed.
@@ -45,7 +49,9 @@
     if (not_run) {
       head.set("Not-Run", "1");
     }
-    if (framed) {
+    if (length) {
+      head.set("Content-Length", std::to_string(*length));
+    } else if (framed) {
       head.set("Transfer-Encoding", "chunked");
     }
     if (rate_limit) {
@@ -95,8 +101,17 @@
   std::optional<Milliseconds> retry_after;  // Time for which the upstream wants no requests.
   bool foreign = false;                     // A head was taken for the response to another request.
   bool framed = true;  // The response states its end; otherwise it ends with the connection.
+  std::optional<uint64_t> length;  // Content-Length of the response.
+  bool paused = false;
 
  private:
+  static HttpRequest WithBody(HttpRequest request, const std::shared_ptr<const std::string>& body) {
+    if (body != nullptr) {
+      request.body() = *body;
+    }
+    return request;
+  }
+
   HttpCallHandler* m_handler;
 };
 
@@ -123,7 +138,11 @@
     fields = reply.fields;
     ++ends;
   }
-  void BeginStream(const BufferedResponse& head) override { status = head.status; }
+  void BeginStream(const BufferedResponse& head, std::optional<uint64_t> stated) override {
+    status = head.status;
+    begun = true;
+    length = stated;
+  }
   void SendChunk(std::string_view bytes) override { body.append(bytes); }
   void EndStream() override {
     complete = true;
@@ -133,13 +152,17 @@
     broken = true;
     ++ends;
   }
+  bool Backlogged() const override { return backlogged; }
 
   int status = 0;
   std::string body;
   HttpFields fields;
-  bool complete = false;  // EndStream() was called.
-  bool broken = false;    // AbortStream() was called.
-  int ends = 0;           // Number of calls that end the response.
+  bool backlogged = false;         // The caller does not read.
+  bool begun = false;              // BeginStream() was called.
+  std::optional<uint64_t> length;  // Stated by BeginStream().
+  bool complete = false;           // EndStream() was called.
+  bool broken = false;             // AbortStream() was called.
+  int ends = 0;                    // Number of calls that end the response.
 };
 
 // Wire protocol with simple header names.
