Bound what callers take from an instance

Cause: the buffer of a connection had no bound beside the limits of head and body, which count neither chunk extensions nor trailers; and no limit held for all connections together, in memory or in descriptors. Requests are read piece by piece, so that what each holds is known. Beyond the budget, unfinished requests with the least progress are ended first, then callers that do not read; complete requests stay. Chunk headers, extensions and trailers have a bound, a body has to make progress, a caller that reads nothing for the idle timeout is reset. A refused request gets 400, 408, 413, 431 or 503 with its rest read for half a second, so that the response arrives; an incomplete head gets a closed connection. The buffer of the status ports is bounded, too. Large requests are returned to the system when they end.

--- a/include/azuregw/forward/caller_listener.h
+++ b/include/azuregw/forward/caller_listener.h
@@ -4,6 +4,7 @@
 #define AZUREGW_FORWARD_CALLER_LISTENER_H_
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <memory>
 
 #include "azuregw/base/result.h"
@@ -12,6 +13,10 @@
 namespace azuregw {
 
 // HTTP server for callers. Runs on one event loop; not thread-safe.
+//
+// Callers are not trusted. A ReceiveBudget bounds the memory and the connections of all of them
+// together. A request that exceeds a limit gets 400, 408, 413, 431 or, for lack of memory, 503,
+// which all mean that it has not run; where no head could be read, the connection is closed.
 class CallerListener {
  public:
   virtual ~CallerListener() = default;
@@ -24,6 +29,8 @@
   virtual int Connections() const = 0;
   // Returns the number of requests that are being served.
   virtual int ActiveExchanges() const = 0;
+  // Returns the memory that callers' connections hold.
+  virtual uint64_t HeldBytes() const = 0;
 };
 
 // Listens on `context->settings.caller_address`. Errors: kPortInUse. `io` and `context` must
--- a/include/azuregw/forward/gateway_settings.h
+++ b/include/azuregw/forward/gateway_settings.h
@@ -4,6 +4,7 @@
 #define AZUREGW_FORWARD_GATEWAY_SETTINGS_H_
 
 #include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
 #include <string>
 
 #include "azuregw/base/clock.h"
@@ -20,6 +21,11 @@
   boost::asio::ip::tcp::endpoint store_address;
   // CPU time available to the instance, in cores.
   double cpu_share = 1;
+  // Memory beyond which the platform kills the process. The default suits deployments that state
+  // none; smaller machines have to state theirs.
+  uint64_t memory_bytes = uint64_t{512} << 20;
+  // Descriptors that the process may have open.
+  int max_descriptors = 4096;
   // Bandwidth of the instance's network link, in Mbit/s.
   double link_mbps = 1000;
   // Time after a stop signal at which the process exits even if requests are still running.
--- a/include/azuregw/forward/transfer_limits.h
+++ b/include/azuregw/forward/transfer_limits.h
@@ -16,6 +16,9 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "azuregw/base/result.h"
+#include "azuregw/forward/gateway_settings.h"
+
 namespace azuregw {
 
 // Responses of the known services are below 5 KB, so that nearly all of them can be replaced.
@@ -39,6 +42,9 @@
 static_assert(kUnsentWindowBytes + kMaxEventBytes + kMaxResponseHeadBytes < kMaxUnsentBytes,
               "a complete event must fit");
 
+// Returns an error that names the settings which contradict these limits or each other.
+Result<void> CheckTransferLimits(const GatewaySettings& settings);
+
 }  // namespace azuregw
 
 #endif  // AZUREGW_FORWARD_TRANSFER_LIMITS_H_
--- a/src/forward/caller_listener.cc
+++ b/src/forward/caller_listener.cc
@@ -14,16 +14,16 @@
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cerrno>
 #include <deque>
 #include <optional>
-#include <set>
 #include <sstream>
 #include <string>
+#include <unordered_map>
 #include <utility>
 
+#include "azuregw/admission/receive_budget.h"
 #include "azuregw/forward/transfer_limits.h"
 #include "azuregw/net/endpoint.h"
 #include "forward/exchange_base.h"
@@ -36,6 +36,7 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
+using Phase = ReceiveBudget::Phase;
 
 // Idle timeout before the first configuration.
 constexpr Milliseconds kDefaultIdleTimeout{10000};
@@ -43,23 +44,56 @@
 constexpr Milliseconds kDrainIdleTimeout{2500};
 // Delay after accept() failed, for example for lack of file descriptors.
 constexpr Milliseconds kAcceptRetryDelay{50};
+// Bytes read at once, before and after the end of the head. Usual requests fit into the first.
+constexpr size_t kHeadReadBytes = 2048;
+constexpr size_t kBodyReadBytes = 16384;
+// Largest head, whatever the configuration allows. The library cannot store longer field values.
+constexpr uint32_t kMaxHeadBytes = 65000;
+// What a request takes beside its body: the head in the buffer and parsed, and one read.
+constexpr uint64_t kRequestOverheadBytes = 2 * kMaxHeadBytes + kBodyReadBytes;
+// Buffers up to this size stay with an idle connection.
+constexpr size_t kIdleBufferBytes = 4096;
+// Limit of chunk headers, extensions and trailers, as a multiple of the body that they carry, or in
+// bytes if that is more. Chunks of one byte need five bytes each.
+constexpr uint64_t kMaxFramingRatio = 8;
+constexpr uint64_t kMaxFramingBytes = uint64_t{64} << 10;
+// Limit of the received bytes that wait in the system while a request is served.
+constexpr int kReceiveBufferBytes = 64 * 1024;
+// What a rejected caller still sends is read and discarded up to this size and time, since closing
+// at once could destroy the response on its way.
+constexpr size_t kMaxDiscardedBytes = size_t{256} << 10;
+constexpr Milliseconds kDiscardTime{500};
+// Interval of the check for callers that do not read their responses.
+constexpr Milliseconds kSweepInterval{1000};
+// Retry-After of requests that were rejected for lack of memory: memory is free again when the
+// requests of other callers end, after some hundred ms.
+constexpr Milliseconds kNoMemoryRetryAfter{500};
 
 class CallerConnection;
-// All open connections. Shared, since pending handlers may keep connections alive after the
-// listener.
-using ConnectionSet = std::set<CallerConnection*>;
+
+// State that all connections share. Pending handlers may keep connections alive after the listener.
+struct ListenerState {
+  explicit ListenerState(ReceiveBudget::Limits limits) : budget(limits) {}
+  ReceiveBudget budget;
+  std::unordered_map<ReceiveBudget::ConnectionId, CallerConnection*> connections;
+  ReceiveBudget::ConnectionId next_id = 0;
+};
 
 // Connection of one caller. Owned by its pending handlers.
 class CallerConnection final : public CallerResponder,
                                public std::enable_shared_from_this<CallerConnection> {
  public:
-  CallerConnection(std::shared_ptr<ConnectionSet> set, ForwardContext* context,
+  CallerConnection(std::shared_ptr<ListenerState> state, ForwardContext* context,
                    asio::io_context* io, tcp::socket socket);
   ~CallerConnection() override;
 
+  // Returns the connection that has to be closed in exchange, if any.
+  std::optional<ReceiveBudget::ConnectionId> Register();
   void Start() { WaitForRequest(); }
   void Drain();
   bool Active() const { return m_exchange != nullptr; }
+  // Ends the connection because a limit that all connections share is exceeded.
+  void Evict(const char* limit);
 
   // ---- CallerResponder ----
   void SendResponse(BufferedResponse reply) override;
@@ -70,25 +104,34 @@
   bool Backlogged() const override { return m_unsent_bytes >= kUnsentWindowBytes; }
 
  private:
-  CallerLimits Limits() const {
-    const auto& config = m_context->routes->Config();
-    CallerLimits limits;
-    if (config != nullptr) {
-      return config->limits;
-    }
-    limits.idle_timeout = kDefaultIdleTimeout;
-    return limits;
-  }
+  CallerLimits Limits() const;
+  ReceiveBudget& Budget() { return m_state->budget; }
   // Waits for the first byte of the next request.
   void WaitForRequest();
-  void ReadRequestHeader();
-  void ReadBody();
-  // Returns whether a read succeeded; otherwise rejects the request or closes the connection.
-  bool CheckRead(error_code error);
+  // Reads bytes of the request, or of what is discarded after a rejected one.
+  void Read();
+  void OnRead(error_code error, size_t count);
+  // Parses the received bytes; dispatches the request if it is complete and reads on otherwise.
+  void Parse();
+  // Handles the end of the head while the body is incomplete.
+  void OnHead();
+  // Returns whether the request is within the limits so far; otherwise rejects it.
+  bool CheckFraming();
+  // Rejects a request that the parser or its buffer cannot take.
+  void OnParseError(error_code error);
+  // Checks the progress of an incomplete request.
+  void StartReceiveTimer(Milliseconds delay);
+  void OnReceiveTimer();
   // Passes the parsed request to an exchange.
   void Dispatch();
-  // Sends an error response to an unreadable request; the connection is closed after it.
-  void Reject(int status, ResultCode code, const std::string& reason);
+  // Sends an error response to a request that is not served; the connection is closed after it.
+  // `limit` names the limit that was exceeded, for the log and the metrics.
+  void Reject(int status, ResultCode code, const char* limit, const std::string& reason,
+              std::optional<Milliseconds> retry_after = std::nullopt);
+  // Logs and counts that a limit was enforced.
+  void RecordLimit(const char* limit, int status, const std::string& reason);
+  // Reports the memory of the connection, and ends those that have to make room for it.
+  void UpdateHeld();
   // Detects that the caller closes the connection while its request is served.
   void WatchForClose();
   void Write(std::string bytes);
@@ -102,7 +145,8 @@
   // Destroys the exchange in a later turn of the event loop.
   void ReleaseExchange();
 
-  const std::shared_ptr<ConnectionSet> m_connection_set;
+  const std::shared_ptr<ListenerState> m_state;
+  const ReceiveBudget::ConnectionId m_id;
   ForwardContext* const m_context;
   asio::io_context* const m_io;
   tcp::socket m_socket;
@@ -116,8 +160,24 @@
   bool m_response_queued = false;      // True once the end of the response is queued.
   bool m_waiting_for_request = false;  // True while no byte of the next request has arrived.
   bool m_draining = false;
+
+  // ---- Request that is being received ----
+  bool m_receiving = false;
+  bool m_reading = false;     // A read is pending, which uses `m_buffer`.
+  bool m_head_read = false;   // The head is complete.
+  bool m_discarding = false;  // The request was rejected; the rest of it is discarded.
+  uint64_t m_received = 0;    // Bytes of the request so far; of discarded ones after that.
+  uint64_t m_head_bytes = 0;  // Bytes of the head.
+  // Limit of the head, and of a chunk header with its extensions or all trailers, which the parser
+  // takes only as a whole.
+  uint32_t m_max_head_bytes = 0;
+  uint64_t m_progress = 0;      // `m_received` at the last progress.
+  TimePoint m_progress_at;      // Last time at which kProgressBytes more were received.
+  TimePoint m_receiving_since;  // Arrival of the first byte.
+
   std::deque<std::string> m_unsent;  // Response bytes not yet passed to the socket.
   size_t m_unsent_bytes = 0;         // Bytes queued or being written.
+  uint64_t m_request_bytes = 0;      // Memory of the request that is being served.
   bool m_writing = false;
   bool m_closed = false;
   // Self-reference that keeps the connection alive while a request is served and the next one is
@@ -128,10 +188,22 @@
 class BeastListener final : public CallerListener {
  public:
   BeastListener(asio::io_context* io, ForwardContext* context)
-      : m_io(io), m_context(context), m_acceptor(*io), m_retry(*io) {}
+      : m_io(io),
+        m_context(context),
+        m_acceptor(*io),
+        m_retry(*io),
+        m_state(std::make_shared<ListenerState>(ReceiveBudget::LimitsOf(
+            context->settings.memory_bytes, context->settings.max_descriptors))) {}
 
   Result<void> Listen() {
-    return OpenAcceptor(m_context->settings.caller_address, "callers' address", &m_acceptor);
+    const Result<void> listening =
+        OpenAcceptor(m_context->settings.caller_address, "callers' address", &m_acceptor);
+    if (listening) {
+      error_code ignored;  // Without the limit, unread bytes take more memory of the machine.
+      m_acceptor.set_option(asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ignored);
+      Sweep();
+    }
+    return listening;
   }
 
   void Accept() override {
@@ -153,7 +225,10 @@
       error_code ignored;  // The option only reduces latency.
       socket.set_option(tcp::no_delay(true), ignored);
       auto connection =
-          std::make_shared<CallerConnection>(m_connections, m_context, m_io, std::move(socket));
+          std::make_shared<CallerConnection>(m_state, m_context, m_io, std::move(socket));
+      if (const auto excess = connection->Register()) {
+        Evict(*excess, "connections");
+      }
       if (m_draining) {
         connection->Drain();
       }
@@ -164,33 +239,79 @@
 
   void Drain() override {
     m_draining = true;
-    for (CallerConnection* connection : *m_connections) {
+    for (const auto& [id, connection] : m_state->connections) {
       connection->Drain();
     }
   }
-  int Connections() const override { return static_cast<int>(m_connections->size()); }
+  int Connections() const override { return static_cast<int>(m_state->connections.size()); }
   int ActiveExchanges() const override {
     return static_cast<int>(
-        std::count_if(m_connections->begin(), m_connections->end(),
-                      [](const CallerConnection* connection) { return connection->Active(); }));
+        std::count_if(m_state->connections.begin(), m_state->connections.end(),
+                      [](const auto& entry) { return entry.second->Active(); }));
   }
+  uint64_t HeldBytes() const override { return m_state->budget.HeldBytes(); }
 
  private:
+  void Evict(ReceiveBudget::ConnectionId id, const char* limit) {
+    const auto found = m_state->connections.find(id);
+    if (found != m_state->connections.end()) {
+      found->second->Evict(limit);
+    }
+  }
+
+  // Ends connections whose callers do not read their responses.
+  void Sweep() {
+    m_sweep_timer = m_context->loop->After(kSweepInterval, [this] {
+      const auto& config = m_context->routes->Config();
+      const Milliseconds limit =
+          config == nullptr ? kDefaultIdleTimeout : config->limits.idle_timeout;
+      for (const auto id : m_state->budget.NotReading(limit, m_context->loop->Now())) {
+        Evict(id, "reading_time");
+      }
+      Sweep();
+    });
+  }
+
   asio::io_context* const m_io;
   ForwardContext* const m_context;
   tcp::acceptor m_acceptor;
   asio::steady_timer m_retry;
-  const std::shared_ptr<ConnectionSet> m_connections = std::make_shared<ConnectionSet>();
+  const std::shared_ptr<ListenerState> m_state;
+  std::unique_ptr<Timer> m_sweep_timer;
   bool m_draining = false;
 };
 
-CallerConnection::CallerConnection(std::shared_ptr<ConnectionSet> set, ForwardContext* context,
+CallerConnection::CallerConnection(std::shared_ptr<ListenerState> state, ForwardContext* context,
                                    asio::io_context* io, tcp::socket socket)
-    : m_connection_set(std::move(set)), m_context(context), m_io(io), m_socket(std::move(socket)) {
-  m_connection_set->insert(this);
+    : m_state(std::move(state)),
+      m_id(m_state->next_id++),
+      m_context(context),
+      m_io(io),
+      m_socket(std::move(socket)) {}
+
+CallerConnection::~CallerConnection() {
+  m_state->connections.erase(m_id);
+  Budget().Remove(m_id);
 }
 
-CallerConnection::~CallerConnection() { m_connection_set->erase(this); }
+std::optional<ReceiveBudget::ConnectionId> CallerConnection::Register() {
+  m_state->connections[m_id] = this;
+  return Budget().Add(m_id, m_context->loop->Now());
+}
+
+CallerLimits CallerConnection::Limits() const {
+  const auto& config = m_context->routes->Config();
+  CallerLimits limits;
+  if (config != nullptr) {
+    limits = config->limits;
+  } else {
+    limits.idle_timeout = kDefaultIdleTimeout;
+  }
+  limits.max_header_bytes = std::min(limits.max_header_bytes, kMaxHeadBytes);
+  limits.max_body_bytes =
+      std::min(limits.max_body_bytes, m_state->budget.LargestRequest() - kRequestOverheadBytes);
+  return limits;
+}
 
 void CallerConnection::CloseAfter(Milliseconds delay) {
   m_timer = m_context->loop->After(delay, [self = weak_from_this()] {
@@ -207,19 +328,81 @@
   }
 }
 
+void CallerConnection::Evict(const char* limit) {
+  if (m_closed) {
+    return;
+  }
+  if (m_receiving && m_head_read) {
+    Reject(503, ResultCode::kOverloaded, limit, "the instance cannot hold more unfinished requests",
+           kNoMemoryRetryAfter);
+    return;
+  }
+  RecordLimit(limit, 0, m_receiving ? "the head is incomplete" : "the caller does not read or ask");
+  if (m_exchange != nullptr) {
+    Abort();
+  } else {
+    Close();
+  }
+}
+
+void CallerConnection::RecordLimit(const char* limit, int status, const std::string& reason) {
+  m_context->log->Write("caller_limited",
+                        {{"limit", limit},
+                         {"status", status},
+                         {"reason", reason},
+                         {"received_bytes", m_received},
+                         {"unsent_bytes", m_unsent_bytes},
+                         {"held_bytes_of_all", Budget().HeldBytes()},
+                         {"connections", m_state->connections.size()}},
+                        false);
+  m_context->metrics->Add("azuregw_callers_limited_total", std::string("limit=\"") + limit + "\"",
+                          1);
+}
+
+void CallerConnection::UpdateHeld() {
+  if (m_closed) {
+    return;
+  }
+  uint64_t held = m_buffer.capacity() + m_unsent_bytes;
+  if (m_receiving && m_parser) {
+    held += m_head_bytes + m_parser->get().body().size();
+  } else if (m_exchange != nullptr) {
+    held += m_request_bytes;
+  }
+  for (const auto id : Budget().SetHeld(m_id, held, m_unsent_bytes)) {
+    const auto found = m_state->connections.find(id);
+    if (found != m_state->connections.end()) {
+      found->second->Evict("memory");
+    }
+  }
+}
+
 void CallerConnection::WaitForRequest() {
   if (m_closed) {
     return;
   }
   const CallerLimits limits = Limits();
+  m_max_head_bytes = limits.max_header_bytes;
   m_parser.emplace();
+  m_parser->eager(true);
   m_parser->header_limit(limits.max_header_bytes);
   m_parser->body_limit(limits.max_body_bytes);
   m_response_queued = false;
+  m_receiving = false;
+  m_head_read = false;
+  m_head_bytes = 0;
+  m_progress = 0;
+  m_received = m_buffer.size();
+  Budget().SetPhase(m_id, Phase::kIdle, m_context->loop->Now());
   if (m_buffer.size() > 0) {
-    ReadRequestHeader();
+    Parse();
     return;
   }
+  if (m_buffer.capacity() > kIdleBufferBytes) {
+    m_buffer = beast::flat_buffer();
+  }
+  m_buffer.max_size(m_max_head_bytes + kBodyReadBytes);
+  UpdateHeld();
   m_waiting_for_request = true;
   CloseAfter(m_draining ? kDrainIdleTimeout : limits.idle_timeout);
   m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
@@ -227,66 +410,187 @@
       self->Close();
       return;
     }
-    self->ReadRequestHeader();
+    self->m_waiting_for_request = false;
+    self->Read();
   });
 }
 
-void CallerConnection::ReadRequestHeader() {
-  m_waiting_for_request = false;
-  CloseAfter(Limits().header_timeout);
-  http::async_read_header(m_socket, m_buffer, *m_parser,
-                          [self = shared_from_this()](error_code error, size_t) {
-                            if (!self->m_closed && self->CheckRead(error)) {
-                              self->ReadBody();
-                            }
-                          });
+void CallerConnection::Read() {
+  m_reading = true;
+  const size_t most = m_head_read || m_discarding ? kBodyReadBytes : kHeadReadBytes;
+  const size_t room = m_buffer.max_size() - m_buffer.size();
+  m_socket.async_read_some(
+      m_buffer.prepare(std::min(most, room)),
+      [self = shared_from_this()](error_code error, size_t count) { self->OnRead(error, count); });
+}
+
+void CallerConnection::OnRead(error_code error, size_t count) {
+  m_reading = false;
+  if (m_closed) {
+    return;
+  }
+  if (error) {
+    Close();  // The caller or the network closed the connection.
+    return;
+  }
+  m_received += count;
+  if (m_discarding) {
+    m_buffer.clear();
+    if (m_received > kMaxDiscardedBytes) {
+      Close();
+    } else {
+      Read();
+    }
+    return;
+  }
+  m_buffer.commit(count);
+  Parse();
+}
+
+void CallerConnection::Parse() {
+  const TimePoint now = m_context->loop->Now();
+  const bool begins = !m_receiving;
+  if (begins) {
+    m_receiving = true;
+    m_receiving_since = now;
+    m_progress_at = now;
+    Budget().SetPhase(m_id, Phase::kReceiving, now);
+  }
+  error_code error;
+  while (!m_parser->is_done() && m_buffer.size() > 0 && !error) {
+    m_buffer.consume(m_parser->put(m_buffer.cdata(), error));
+  }
+  if (error && error != http::error::need_more) {
+    OnParseError(error);
+    return;
+  }
+  if (m_parser->is_done()) {
+    Dispatch();
+    return;
+  }
+  if (!m_head_read && m_parser->is_header_done()) {
+    OnHead();
+  }
+  Budget().OnReceived(m_id, m_received, now);
+  if (m_received >= m_progress + ReceiveBudget::kProgressBytes) {
+    m_progress = m_received;
+    m_progress_at = now;
+  }
+  if (!CheckFraming()) {
+    return;
+  }
+  if (begins) {
+    StartReceiveTimer(Limits().header_timeout);
+  }
+  UpdateHeld();
+  if (m_receiving && !m_closed) {  // The budget may have ended this connection.
+    Read();
+  }
+}
+
+void CallerConnection::OnHead() {
+  m_head_read = true;
+  m_head_bytes = m_received - m_buffer.size() - m_parser->get().body().size();
+  m_progress_at = m_context->loop->Now();
+  if (m_parser->get()[http::field::expect] == "100-continue") {
+    Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
 }
 
-bool CallerConnection::CheckRead(error_code error) {
-  if (!error) {
+bool CallerConnection::CheckFraming() {
+  if (!m_head_read) {
+    if (m_buffer.size() < m_buffer.max_size()) {
+      return true;
+    }
+    OnParseError(http::error::header_limit);
+    return false;
+  }
+  const uint64_t body = m_parser->get().body().size();
+  const uint64_t framing = m_received - m_head_bytes - body - m_buffer.size();
+  if (m_buffer.size() <= m_max_head_bytes &&
+      framing <= std::max(kMaxFramingBytes, body * kMaxFramingRatio)) {
     return true;
   }
+  Reject(400, ResultCode::kInvalidField, "framing",
+         "the chunk headers, extensions or trailers are too large");
+  return false;
+}
+
+void CallerConnection::OnParseError(error_code error) {
   if (error == http::error::header_limit) {
-    Reject(431, ResultCode::kHeaderTooLarge, "the header is too large");
+    Reject(431, ResultCode::kHeaderTooLarge, "head", "the header is too large");
   } else if (error == http::error::body_limit) {
-    Reject(413, ResultCode::kBodyTooLarge, "the body is too large");
-  } else if (error == http::error::end_of_stream || error == http::error::partial_message ||
-             error.category() != make_error_code(http::error::bad_value).category()) {
-    Close();  // The caller or the network closed the connection.
+    Reject(413, ResultCode::kBodyTooLarge, "body", "the body is too large");
   } else {
-    Reject(400, ResultCode::kInvalidField, "malformed request: " + error.message());
+    Reject(400, ResultCode::kInvalidField, "syntax", "malformed request: " + error.message());
   }
-  return false;
 }
 
-void CallerConnection::ReadBody() {
-  if (m_parser->get()[http::field::expect] == "100-continue") {
-    Write("HTTP/1.1 100 Continue\r\n\r\n");
+void CallerConnection::StartReceiveTimer(Milliseconds delay) {
+  m_timer = m_context->loop->After(delay, [self = weak_from_this()] {
+    if (const auto connection = self.lock()) {
+      connection->OnReceiveTimer();
+    }
+  });
+}
+
+// The head has to come within the header timeout. A body may take longer as long as it makes
+// progress, up to the sum of both timeouts.
+void CallerConnection::OnReceiveTimer() {
+  if (!m_head_read) {
+    RecordLimit("head_time", 0, "the head is incomplete");
+    Close();
+    return;
   }
-  http::async_read(m_socket, m_buffer, *m_parser,
-                   [self = shared_from_this()](error_code error, size_t) {
-                     if (!self->m_closed && self->CheckRead(error)) {
-                       self->Dispatch();
-                     }
-                   });
+  const CallerLimits limits = Limits();
+  const TimePoint now = m_context->loop->Now();
+  const TimePoint end = std::min(m_progress_at + limits.header_timeout,
+                                 m_receiving_since + limits.header_timeout + limits.idle_timeout);
+  if (now >= end) {
+    Reject(408, ResultCode::kDeadlineUnreachable, "body_time", "the body does not arrive in time");
+    return;
+  }
+  StartReceiveTimer(std::chrono::ceil<Milliseconds>(end - now));
 }
 
-void CallerConnection::Reject(int status, ResultCode code, const std::string& reason) {
+void CallerConnection::Reject(int status, ResultCode code, const char* limit,
+                              const std::string& reason, std::optional<Milliseconds> retry_after) {
   m_keep_alive = false;
   m_head_request = false;
-  m_context->log->Write("connection_rejected", {{"status", status}, {"reason", reason}}, false);
+  m_receiving = false;
+  m_discarding = true;
+  RecordLimit(limit, status, reason);
+  m_parser.reset();
+  if (!m_reading) {
+    m_buffer = beast::flat_buffer();
+    m_buffer.max_size(kBodyReadBytes);
+  }
+  m_received = 0;
+  Budget().SetPhase(m_id, Phase::kIdle, m_context->loop->Now());
+  UpdateHeld();
+  CloseAfter(kDiscardTime);
   SendResponse(MakeErrorResponse(status, code, RunOutcome::kNotRun, reason, "",
-                                 m_context->wire->RequestIdHeader(), std::nullopt));
+                                 m_context->wire->RequestIdHeader(), retry_after));
+  if (!m_reading) {
+    Read();
+  }
 }
 
 void CallerConnection::Dispatch() {
   m_timer.reset();
+  m_receiving = false;
   m_keep_alive = m_parser->keep_alive();
   m_head_request = m_parser->get().method() == http::verb::head;
-  IncomingRequest request{m_parser->release(), m_context->loop->Now()};
+  m_request_bytes = m_received - m_buffer.size();
+  const TimePoint now = m_context->loop->Now();
+  IncomingRequest request{m_parser->release(), now};
   m_exchange = MakeExchange(m_context, std::move(request), this);
-  WatchForClose();
-  m_exchange->Start();
+  Budget().SetPhase(m_id, Phase::kServing, now);
+  UpdateHeld();
+  if (m_exchange != nullptr) {  // The budget may have ended this connection.
+    WatchForClose();
+    m_exchange->Start();
+  }
 }
 
 void CallerConnection::WatchForClose() {
@@ -377,6 +681,12 @@
     return;
   }
   m_unsent.push_back(std::move(bytes));
+  if (Backlogged()) {
+    UpdateHeld();
+    if (m_closed) {
+      return;
+    }
+  }
   if (!m_writing) {
     // Combines the bytes queued in the same turn of the event loop into one write.
     m_writing = true;
@@ -413,8 +723,12 @@
                         self->Close();
                         return;
                       }
-                      if (backlogged && self->m_exchange != nullptr && !self->Backlogged()) {
-                        self->m_exchange->OnCallerReads();
+                      if (backlogged) {
+                        self->Budget().OnSent(self->m_id, self->m_context->loop->Now());
+                        self->UpdateHeld();
+                        if (self->m_exchange != nullptr && !self->Backlogged()) {
+                          self->m_exchange->OnCallerReads();
+                        }
                       }
                       self->WriteNext();
                     });
@@ -426,7 +740,9 @@
   if (!m_keep_alive) {
     error_code ignored;  // The caller may have closed first.
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
-    Close();
+    if (!m_discarding) {
+      Close();
+    }
     return;
   }
   WaitForRequest();
@@ -452,10 +768,14 @@
     return;
   }
   m_closed = true;
+  m_state->connections.erase(m_id);
+  Budget().Remove(m_id);
   m_timer.reset();
   const std::shared_ptr<CallerConnection> keep = std::move(m_pipelined);
   error_code ignored;  // The connection is abandoned in any case.
   m_socket.close(ignored);
+  m_parser.reset();
+  m_receiving = false;
   ReleaseExchange();
 }
 
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -16,6 +16,7 @@
 #include "azuregw/base/rendezvous.h"
 #include "azuregw/forward/caller_listener.h"
 #include "azuregw/forward/exchange.h"
+#include "azuregw/forward/transfer_limits.h"
 #include "azuregw/net/endpoint.h"
 #include "azuregw/net/status_server.h"
 #include "azuregw/placement/layout_controller.h"
@@ -35,11 +36,6 @@
 constexpr uint16_t kMetricsPort = 9464;
 constexpr char kLeaderLeaseKey[] = "azuregw/layout";
 constexpr char kQuarantineKey[] = "azuregw/quarantine";
-// Longest delay of a watch event after the last confirmation of the watch. A store that compacts
-// its history may be silent for 1 s.
-constexpr Milliseconds kMaxWatchDelay{1000};
-// Allowance for the time from the last check of the key's age to the use of the key.
-constexpr Milliseconds kKeyCheckMargin{500};
 // Age of the store data above which the instance reports itself as not ready.
 constexpr Milliseconds kMaxReadyStoreAge{3500};
 // Part of the grace period left for the process to exit.
@@ -52,9 +48,20 @@
 // Time for the answer of the store that confirms the configuration after a restore.
 constexpr Milliseconds kSettledMargin{50};
 constexpr Milliseconds kQueueTickInterval{25};
+constexpr int kMmapThresholdBytes = 128 * 1024;
 // Number of instances assumed to share the load until it is known.
 constexpr int kAssumedInstances = 8;
 
+// Longest delay of a watch event after the last confirmation of the watch. A store that compacts
+// its history may be silent for 1 s.
+constexpr Milliseconds kMaxWatchDelay{1000};
+// Allowance for the time from the last check of the key's age to the use of the key.
+constexpr Milliseconds kKeyCheckMargin{500};
+
+Milliseconds KeyAgeLimit(Milliseconds bound) {
+  return bound.count() == 0 ? bound : bound - kMaxWatchDelay - kKeyCheckMargin;
+}
+
 // Owns and connects the components of an instance.
 class GatewayInstance {
  public:
@@ -66,7 +73,7 @@
         m_metrics(MakeMetrics()),
         m_log(MakeEventLog(m_loop.get(), &SystemClock(),
                            {settings.name, settings.failure_domain, 1})),
-        m_routes(KeyAge(settings)),
+        m_routes(KeyAgeLimit(settings.key_removal_bound)),
         m_paths(m_random.get()),
         m_budget({settings.retry_budget_ratio, settings.retry_budget_slack,
                   settings.retry_budget_window}),
@@ -115,8 +122,12 @@
                  {{"callers", EndpointText(m_context.settings.caller_address)},
                   {"readiness", EndpointText(m_context.settings.readiness_address)},
                   {"store", EndpointText(m_context.settings.store_address)},
-                  {"key_age_limit_ms", KeyAge(m_context.settings).count()}},
+                  {"key_age_limit_ms", KeyAgeLimit(m_context.settings.key_removal_bound).count()}},
                  true);
+    const Result<void> limits = CheckTransferLimits(m_context.settings);
+    if (!limits) {
+      return ReportStartFailure(limits.error());
+    }
     auto listener = MakeCallerListener(&m_io, &m_context);
     if (!listener) {
       return ReportStartFailure(listener.error());
@@ -175,13 +186,6 @@
   }
 
  private:
-  // Returns the age of the routing data up to which API keys are accepted; 0 means no bound.
-  static Milliseconds KeyAge(const GatewaySettings& settings) {
-    return settings.key_removal_bound.count() == 0
-               ? Milliseconds(0)
-               : settings.key_removal_bound - kMaxWatchDelay - kKeyCheckMargin;
-  }
-
   void OnStoreRestored(uint64_t previous_era, std::string_view source) {
     m_log->Write("store_restored",
                  {{"era", m_platform.store->Era()->Current()},
@@ -254,6 +258,7 @@
                                        });
     m_metrics->Set("azuregw_limited_upstreams", "", static_cast<double>(limited));
     m_metrics->Set("azuregw_connections", "", m_listener->Connections());
+    m_metrics->Set("azuregw_callers_held_bytes", "", static_cast<double>(m_listener->HeldBytes()));
     m_metrics->Set("azuregw_queued_streams", "", m_queue.Size());
     m_metrics->Set("azuregw_quarantined_parts", "", static_cast<double>(m_quarantined.size()));
     m_metrics->Set("azuregw_upstream_connections_opened", "",
@@ -267,7 +272,7 @@
   // confirms the configuration.
   void AcceptWhenConfigured() {
     const TimePoint now = m_loop->Now();
-    const bool keys_expire = KeyAge(m_context.settings).count() > 0;
+    const bool keys_expire = KeyAgeLimit(m_context.settings.key_removal_bound).count() > 0;
     const bool config_known = keys_expire ? m_routes.Age(now).has_value() : m_routes.Version() > 0;
     const bool known = config_known && m_lister.Age() && m_quarantine_store.Started();
     const TimePoint latest = std::max(m_started + kMaxConfigWait,
@@ -416,6 +421,9 @@
 int RunGateway(const GatewaySettings& settings, const GatewayPlatformFactory& make_platform) {
   // One arena is enough for one busy thread; memory is scarcer than CPU time.
   mallopt(M_ARENA_MAX, 1);
+  // The memory of a large request goes back to the system when it is released. Without this, the
+  // threshold grows with the first one, and later ones stay in the heap.
+  mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
   return GatewayInstance(settings, make_platform).Run();
 }
 
--- /dev/null
+++ b/src/forward/transfer_limits.cc
@@ -0,0 +1,35 @@
+// Check of the settings against the limits of transfers.
+
+#include "azuregw/forward/transfer_limits.h"
+
+#include <string>
+
+#include "azuregw/admission/receive_budget.h"
+
+namespace azuregw {
+namespace {
+
+// Smallest request that each instance has to take: a head of 64 KiB with a body of 1 MiB.
+constexpr uint64_t kMinLargestRequest = (uint64_t{1} << 20) + (uint64_t{64} << 10);
+constexpr size_t kMinConnections = 16;
+
+}  // namespace
+
+Result<void> CheckTransferLimits(const GatewaySettings& settings) {
+  const ReceiveBudget budget(
+      ReceiveBudget::LimitsOf(settings.memory_bytes, settings.max_descriptors));
+  if (budget.LargestRequest() < kMinLargestRequest) {
+    return NotRun(ResultCode::kSettingsInvalid,
+                  "memory of " + std::to_string(settings.memory_bytes >> 20) +
+                      " MB leaves callers less than one request of 1 MiB");
+  }
+  if (budget.MaxUse().connections < kMinConnections) {
+    return NotRun(ResultCode::kSettingsInvalid, std::to_string(settings.max_descriptors) +
+                                                    " descriptors leave callers fewer than " +
+                                                    std::to_string(kMinConnections) +
+                                                    " connections");
+  }
+  return boost::outcome_v2::success();
+}
+
+}  // namespace azuregw
--- a/src/net/status_server.cc
+++ b/src/net/status_server.cc
@@ -28,6 +28,8 @@
 // Askers come once a second or every few seconds.
 constexpr std::chrono::seconds kIdleTimeout{15};
 constexpr std::chrono::milliseconds kAcceptRetry{50};
+// Limit of what is received and not parsed yet. Requests are a few hundred bytes.
+constexpr size_t kMaxBufferedBytes = 16384;
 
 class Connection final : public std::enable_shared_from_this<Connection> {
  public:
@@ -73,7 +75,7 @@
   tcp::socket m_socket;
   asio::steady_timer m_timer;
   const std::shared_ptr<const Answer> m_answer;
-  beast::flat_buffer m_buffer;
+  beast::flat_buffer m_buffer{kMaxBufferedBytes};
   http::request<http::string_body> m_request;
   http::response<http::string_body> m_response;
 };
