Keep short key bounds in force, and take any bytes into JSON

What callers saw: with `revokeMs` of 1,500 or less a removed key ran for as long as the store was silent (trial of the review); text of a caller that is not UTF-8 could end the process (read by the review, not run). Cause: the age limit of keys became 0 or less, which means no limit; JSON was written with the library's strict handler. JSON with foreign text replaces what is not UTF-8.

--- a/src/forward/exchange_base.cc
+++ b/src/forward/exchange_base.cc
@@ -20,6 +20,8 @@
 
 // Deadline of a request that states none, on a route without a timeout.
 constexpr Milliseconds kDefaultDeadline{30000};
+// Longest deadline; a caller may state any number.
+constexpr Milliseconds kMaxDeadline{3600000};
 // Retry-After when no better estimate exists, such as before the first configuration.
 constexpr Milliseconds kDefaultRetryAfter{1000};
 
@@ -112,7 +114,7 @@
       {"error", ResultCodeName(code)},
       {"outcome", RunOutcomeName(outcome)},
       {"message",
-       message}}.dump();
+       message}}.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
   return reply;
 }
 
@@ -138,7 +140,7 @@
   if (Route().timeout.count() > 0) {
     limit = std::min(limit, Route().timeout);
   }
-  m_deadline = m_request.arrived + limit;
+  m_deadline = m_request.arrived + std::min(limit, kMaxDeadline);
   m_context->budget->OnRequest(m_service, Now());
 }
 
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -21,6 +21,7 @@
 #include "azuregw/net/status_server.h"
 #include "azuregw/placement/layout_controller.h"
 #include "azuregw/placement/leader_lease.h"
+#include "azuregw/routes/key_age.h"
 #include "azuregw/sync/config_watcher.h"
 #include "azuregw/sync/quarantine_store.h"
 #include "azuregw/sync/state_exchange.h"
@@ -52,16 +53,6 @@
 // Number of instances assumed to share the load until it is known.
 constexpr int kAssumedInstances = 8;
 
-// Longest delay of a watch event after the last confirmation of the watch. A store that compacts
-// its history may be silent for 1 s.
-constexpr Milliseconds kMaxWatchDelay{1000};
-// Allowance for the time from the last check of the key's age to the use of the key.
-constexpr Milliseconds kKeyCheckMargin{500};
-
-Milliseconds KeyAgeLimit(Milliseconds bound) {
-  return bound.count() == 0 ? bound : bound - kMaxWatchDelay - kKeyCheckMargin;
-}
-
 // Owns and connects the components of an instance.
 class GatewayInstance {
  public:
--- a/src/forward/transfer_limits.cc
+++ b/src/forward/transfer_limits.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "azuregw/admission/receive_budget.h"
+#include "azuregw/routes/key_age.h"
 
 namespace azuregw {
 namespace {
@@ -29,6 +30,13 @@
                                                     std::to_string(kMinConnections) +
                                                     " connections");
   }
+  if (settings.key_removal_bound.count() > 0 && settings.key_removal_bound <= kMinKeyRemovalBound) {
+    return NotRun(ResultCode::kSettingsInvalid,
+                  "the bound of " + std::to_string(settings.key_removal_bound.count()) +
+                      " ms for removed keys is not above the " +
+                      std::to_string(kMinKeyRemovalBound.count()) +
+                      " ms in which a removal is noticed");
+  }
   return boost::outcome_v2::success();
 }
 
--- a/src/refusals/refusal_record.cc
+++ b/src/refusals/refusal_record.cc
@@ -146,10 +146,13 @@
   json document = {{"hour", record.hour},
                    {"counts", EncodeCounts(record, true)},
                    {"reporters", EncodeReporters(record)}};
-  std::string text = document.dump();
+  const auto dump = [&document] {
+    return document.dump(-1, ' ', false, json::error_handler_t::replace);
+  };
+  std::string text = dump();
   if (text.size() > kMaxRecordBytes) {
     document["counts"] = EncodeCounts(record, false);
-    text = document.dump();
+    text = dump();
   }
   return text;
 }
--- a/tests/forward/plain_exchange_test.cc
+++ b/tests/forward/plain_exchange_test.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "azuregw/forward/transfer_limits.h"
+#include "forward/exchange_base.h"
 #include "tests/support/fake_gateway.h"
 
 namespace azuregw {
@@ -305,6 +306,15 @@
   BOOST_TEST(f.Call(0).Cancelled());
 }
 
+// Guards against text of callers that is not UTF-8 and ends the process as an exception of the JSON
+// library.
+BOOST_AUTO_TEST_CASE(error_response_with_bytes_that_are_not_utf8_is_built) {
+  const BufferedResponse reply =
+      MakeErrorResponse(503, ResultCode::kOverloaded, RunOutcome::kNotRun,
+                        "part \xff\xfe of the prompt", "r", "Id", std::nullopt);
+  BOOST_TEST(reply.body.find("of the prompt") != std::string::npos);
+}
+
 // Guards against an exception of the HTTP library, which refuses to frame such a request.
 BOOST_AUTO_TEST_CASE(trace_request_with_a_body_is_forwarded) {
   GatewayFixture f;
--- a/tests/forward/transfer_limits_test.cc
+++ b/tests/forward/transfer_limits_test.cc
@@ -22,6 +22,11 @@
   GatewaySettings few_descriptors;
   few_descriptors.max_descriptors = 210;
   BOOST_TEST(!CheckTransferLimits(few_descriptors).has_value());
+  GatewaySettings short_bound;
+  short_bound.key_removal_bound = Milliseconds(1500);
+  BOOST_TEST(!CheckTransferLimits(short_bound).has_value());
+  short_bound.key_removal_bound = Milliseconds(1501);
+  BOOST_TEST(CheckTransferLimits(short_bound).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
