Play hard transfers in the soak

Change: a fifth case of the soak. Upstreams answer with and without an end of their own and crash or leave amid answers, orders have answers of 5 MiB whose callers pause, callers send chunk extensions, trailers and bodies without end, and an operator writes seconds after a store with an older configuration has returned. It judges also the peak of the memory of each instance and orders that ran and whose connection ended without an answer. The tests of callers without limits share the connection of such a caller, and get a case of long answers that are not read, at 32 MB.

--- a/tests/callers/callers_run.cc
+++ b/tests/callers/callers_run.cc
@@ -5,8 +5,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <array>
-#include <boost/asio/write.hpp>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -30,80 +28,6 @@
 constexpr Milliseconds kDeadline{20000};
 // Long, so that the instance's time limits play no part.
 constexpr int kHeaderTimeoutMs = 60000;
-constexpr size_t kMaxReceived = 4096;
-
-class Connection final : public HostileCaller {
- public:
-  Connection(asio::io_context* io, HostileRequest request)
-      : m_state(std::make_shared<State>(io, std::move(request))) {}
-  ~Connection() override { m_state->Close(); }
-
-  void Open(const tcp::endpoint& endpoint) {
-    m_state->socket.async_connect(endpoint, [state = m_state](error_code error) {
-      if (error) {
-        state->Close();
-        return;
-      }
-      if (state->request.reads) {
-        Read(state);
-      }
-      Write(state, state->request.head);
-    });
-  }
-  bool Finished() const override { return m_state->finished || m_state->closed; }
-  bool Closed() const override { return m_state->closed; }
-  const std::string& Received() const override { return m_state->received; }
-
- private:
-  struct State {
-    State(asio::io_context* io, HostileRequest hostile)
-        : socket(*io), request(std::move(hostile)), left(request.piece_bytes) {}
-    void Close() {
-      closed = true;
-      error_code ignored;  // The connection is given up either way.
-      socket.close(ignored);
-    }
-    tcp::socket socket;
-    const HostileRequest request;
-    uint64_t left;  // Bytes of the pieces that are not sent yet.
-    std::string received;
-    std::array<char, 4096> buffer;
-    bool finished = false;
-    bool closed = false;
-  };
-
-  static void Write(const std::shared_ptr<State>& state, std::string_view bytes) {
-    asio::async_write(
-        state->socket, asio::buffer(bytes.data(), bytes.size()), [state](error_code error, size_t) {
-          if (error || state->closed) {
-            state->Close();
-            return;
-          }
-          const size_t next = std::min<uint64_t>(state->left, state->request.piece.size());
-          state->left -= next;
-          if (next == 0) {
-            state->finished = true;
-            return;
-          }
-          Write(state, std::string_view(state->request.piece).substr(0, next));
-        });
-  }
-  static void Read(const std::shared_ptr<State>& state) {
-    state->socket.async_read_some(asio::buffer(state->buffer),
-                                  [state](error_code error, size_t count) {
-                                    if (error || state->closed) {
-                                      state->Close();
-                                      return;
-                                    }
-                                    if (state->received.size() < kMaxReceived) {
-                                      state->received.append(state->buffer.data(), count);
-                                    }
-                                    Read(state);
-                                  });
-  }
-
-  const std::shared_ptr<State> m_state;
-};
 
 // Collects the answer to an ordinary request.
 class OrderCall final : public HttpCallHandler {
@@ -198,9 +122,7 @@
 void CallersRun::Attack(int connections, const HostileRequest& request) {
   const size_t first = m_callers.size();
   for (int i = 0; i < connections; ++i) {
-    auto connection = std::make_unique<Connection>(&m_io, request);
-    connection->Open(m_callers_address);
-    m_callers.push_back(std::move(connection));
+    m_callers.push_back(testing::MakeHostileCaller(&m_io, m_callers_address, request));
   }
   Until([&] {
     return std::all_of(m_callers.begin() + static_cast<ptrdiff_t>(first), m_callers.end(),
@@ -249,15 +171,7 @@
 
 bool CallersRun::Alive() { return !m_process->Wait(Milliseconds(0)).has_value(); }
 
-int CallersRun::PeakMemoryMb() const {
-  std::ifstream status("/proc/" + std::to_string(m_process->pid()) + "/status");
-  for (std::string line; std::getline(status, line);) {
-    if (line.rfind("VmHWM:", 0) == 0) {
-      return std::stoi(line.substr(6)) / 1024;
-    }
-  }
-  return -1;
-}
+int CallersRun::PeakMemoryMb() const { return testing::PeakMemoryMb(m_process->pid()); }
 
 int CallersRun::OpenSockets() const {
   int sockets = 0;
--- a/tests/callers/callers_run.h
+++ b/tests/callers/callers_run.h
@@ -16,6 +16,7 @@
 #include "azuregw/net/http_client.h"
 #include "tests/fakes/platform_store.h"
 #include "tests/fakes/platform_upstreams.h"
+#include "tests/support/hostile_caller.h"
 #include "tests/support/process.h"
 
 namespace azuregw::callers {
@@ -30,25 +31,6 @@
 // Of the descriptors of a machine, the platform keeps these for files.
 constexpr int kFileDescriptors = 200;
 
-// What an untrusted caller sends on one connection.
-struct HostileRequest {
-  std::string head;
-  std::string piece;         // Sent after the head, again and again.
-  uint64_t piece_bytes = 0;  // Total of the pieces; the connection then stays open.
-  bool reads = true;         // Reads what the instance sends.
-};
-
-// Connection of an untrusted caller. Sends until it is closed or has sent everything.
-class HostileCaller {
- public:
-  virtual ~HostileCaller() = default;
-  // Returns whether the connection has ended or everything is sent.
-  virtual bool Finished() const = 0;
-  virtual bool Closed() const = 0;
-  // Returns what was received.
-  virtual const std::string& Received() const = 0;
-};
-
 // Answer to an ordinary request.
 struct Answer {
   int status = 0;  // 0: none.
@@ -56,6 +38,9 @@
   bool complete = false;
 };
 
+using testing::HostileCaller;
+using testing::HostileRequest;
+
 class CallersRun {
  public:
   explicit CallersRun(const InstanceLimits& limits);
--- a/tests/callers/untrusted_callers_test.cc
+++ b/tests/callers/untrusted_callers_test.cc
@@ -19,6 +19,8 @@
 constexpr int kEndlessCrowd = 12;
 // Connections that each hold a body of the largest legal size.
 constexpr int kBodyCrowd = 120;
+// Connections that each ask for a long answer.
+constexpr int kUnreadCrowd = 40;
 // Connections that each hold a head of nearly the largest legal size.
 constexpr int kHeadCrowd = 1000;
 
@@ -154,6 +156,16 @@
   Play(250, {Head(""), "", 0}, limits);
 }
 
+// Each answer is of some MB, and no caller reads.
+BOOST_AUTO_TEST_CASE(long_answers_that_are_not_read) {
+  const std::string body = std::string(fakes::kLongBody) + "x";
+  HostileRequest request = {HeadWithLength(body.size()) + body, "", 0};
+  request.reads = false;
+  InstanceLimits limits;
+  limits.memory_mb = 32;
+  Play(kUnreadCrowd, request, limits);
+}
+
 // A single request of the largest legal size is served, whole and in chunks.
 BOOST_AUTO_TEST_CASE(largest_legal_body_is_served) {
   const InstanceLimits limits;
--- a/tests/fakes/platform_store.cc
+++ b/tests/fakes/platform_store.cc
@@ -97,7 +97,7 @@
         // Applies the write, but drops the reply.
         class DiscardedReply final : public StandInReply {
           void Whole(int, const StandInFields&, const std::string&) override {}
-          void Begin(const StandInFields&) override {}
+          void Begin(const StandInFields&, bool) override {}
           void Chunk(const std::string&) override {}
           void End() override {}
           void Cut() override {}
--- a/tests/fakes/platform_upstreams.cc
+++ b/tests/fakes/platform_upstreams.cc
@@ -40,6 +40,14 @@
   return "part " + std::to_string(event) + " of " + body;
 }
 
+std::string PlainAnswer(const std::string& body) {
+  std::string answer = "done " + body;
+  if (body.rfind(kLongBody, 0) == 0) {
+    answer.append(kLongAnswerBytes, '.');
+  }
+  return answer;
+}
+
 PlatformUpstream::PlatformUpstream(boost::asio::io_context* io, EventLoop* loop,
                                    PlatformStore* store, const Peers* peers, RunJournal* journal,
                                    UpstreamSpec spec)
@@ -199,7 +207,18 @@
   m_timers.push_back(m_loop->After(kPlainWork, [this, id, body = request.body(), reply] {
     StandInFields fields = Sealed(id);
     fields["X-Engine-Load"] = "1,0," + std::to_string(m_spec.slots);
-    reply->Whole(200, fields, "done " + body);
+    const std::string answer = PlainAnswer(body);
+    if (m_spec.framed) {
+      reply->Whole(200, fields, answer);
+      return;
+    }
+    const size_t half = answer.size() / 2;
+    reply->Begin(fields, false);
+    reply->Chunk(answer.substr(0, half));
+    m_timers.push_back(m_loop->After(kPlainWork, [reply, rest = answer.substr(half)] {
+      reply->Chunk(rest);
+      reply->End();
+    }));
   }));
 }
 
@@ -266,7 +285,7 @@
       stream->begun = true;
       StandInFields fields = Sealed(stream->id);
       fields["Content-Type"] = "text/event-stream";
-      stream->reply->Begin(fields);
+      stream->reply->Begin(fields, m_spec.framed);
     }
     if (stream->next_event <= kStreamEvents) {
       stream->reply->Chunk("id: " + std::to_string(stream->next_event) +
--- a/tests/fakes/platform_upstreams.h
+++ b/tests/fakes/platform_upstreams.h
@@ -40,6 +40,7 @@
   boost::asio::ip::tcp::endpoint address;
   std::string accelerator;  // Empty: a plain service.
   int slots = 32;
+  bool framed = true;  // Its answers state where they end; otherwise they end with the connection.
 };
 
 // Prompt part that crashes each engine that begins an answer to it. The engine is back after
@@ -50,6 +51,12 @@
 // Body of a look-up that crashes each plain upstream that runs it, likewise.
 constexpr char kBadBody[] = "bad request";
 
+// Requests to plain services whose body begins so get an answer of kLongAnswerBytes and more.
+constexpr char kLongBody[] = "long ";
+constexpr size_t kLongAnswerBytes = size_t{5} << 20;
+// Returns the answer of a plain service to a request with this body.
+std::string PlainAnswer(const std::string& body);
+
 // What an upstream asks of the instance that sent it a request: at most `requests` further ones
 // between `from` and `until` after its answer.
 struct Quota {
--- a/tests/fakes/stand_in_server.cc
+++ b/tests/fakes/stand_in_server.cc
@@ -41,12 +41,13 @@
   }
   bool Closed() const { return m_closed; }
 
-  // `last`: the answer is complete, and the next request may be read.
-  void Send(std::string bytes, bool last) {
+  // What follows the bytes.
+  enum class After { kMore, kNextRequest, kClose };
+  void Send(std::string bytes, After after) {
     if (m_closed) {
       return;
     }
-    m_unsent.push_back({std::move(bytes), last});
+    m_unsent.push_back({std::move(bytes), after});
     if (m_unsent.size() == 1) {
       Write();
     }
@@ -55,7 +56,7 @@
  private:
   struct Part {
     std::string bytes;
-    bool last;
+    After after;
   };
 
   void Handle();
@@ -66,12 +67,14 @@
                           self->Close();
                           return;
                         }
-                        const bool last = self->m_unsent.front().last;
+                        const After after = self->m_unsent.front().after;
                         self->m_unsent.pop_front();
                         if (!self->m_unsent.empty()) {
                           self->Write();
-                        } else if (last) {
+                        } else if (after == After::kNextRequest) {
                           self->Read();
+                        } else if (after == After::kClose) {
+                          self->Close();
                         }
                       });
   }
@@ -91,17 +94,26 @@
   void Whole(int status, const StandInFields& fields, const std::string& body) override {
     m_session->Send(
         Head(status, fields) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
-        true);
+        Session::After::kNextRequest);
   }
-  void Begin(const StandInFields& fields) override {
-    m_session->Send(Head(200, fields) + "Transfer-Encoding: chunked\r\n\r\n", false);
+  void Begin(const StandInFields& fields, bool framed) override {
+    m_framed = framed;
+    m_session->Send(Head(200, fields) + (framed ? "Transfer-Encoding: chunked\r\n\r\n"
+                                                : "Connection: close\r\n\r\n"),
+                    Session::After::kMore);
   }
   void Chunk(const std::string& bytes) override {
     char size[32];
     std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
-    m_session->Send(size + bytes + "\r\n", false);
+    m_session->Send(m_framed ? size + bytes + "\r\n" : bytes, Session::After::kMore);
+  }
+  void End() override {
+    if (m_framed) {
+      m_session->Send("0\r\n\r\n", Session::After::kNextRequest);
+    } else {
+      m_session->Send("", Session::After::kClose);
+    }
   }
-  void End() override { m_session->Send("0\r\n\r\n", true); }
   void Cut() override { m_session->Close(); }
   bool Open() const override { return !m_session->Closed(); }
 
@@ -115,6 +127,7 @@
   }
 
   const std::shared_ptr<Session> m_session;
+  bool m_framed = true;
 };
 
 void Session::Handle() { m_handler(m_request, std::make_shared<SessionReply>(shared_from_this())); }
--- a/tests/fakes/stand_in_server.h
+++ b/tests/fakes/stand_in_server.h
@@ -22,7 +22,8 @@
  public:
   virtual ~StandInReply() = default;
   virtual void Whole(int status, const StandInFields& fields, const std::string& body) = 0;
-  virtual void Begin(const StandInFields& fields) = 0;
+  // `framed`: in chunks; otherwise the answer ends with its connection.
+  virtual void Begin(const StandInFields& fields, bool framed) = 0;
   virtual void Chunk(const std::string& bytes) = 0;
   virtual void End() = 0;
   // Closes the connection, whatever was sent.
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -19,6 +19,7 @@
 #include "tests/fakes/platform_store.h"
 #include "tests/fakes/platform_upstreams.h"
 #include "tests/soak/fault_link.h"
+#include "tests/support/hostile_caller.h"
 #include "tests/support/process.h"
 
 namespace azuregw::soak {
@@ -48,6 +49,11 @@
 // crash allowed. An instance counts once it has been undisturbed for the window.
 constexpr int kMaxBadPartSends = 3;
 constexpr Milliseconds kStableWindow{3000};
+// Memory of an instance amid callers that send without end, of which each sends this much at most.
+constexpr int kMemoryMb = 128;
+constexpr uint64_t kHostileBytes = uint64_t{200} << 20;
+// A slow caller reads nothing for this time.
+constexpr Milliseconds kSlowReadPause{300};
 
 struct Instance {
   std::string name;
@@ -63,7 +69,7 @@
   TimePoint restarted_at;  // Last start or pause of its process.
 };
 
-enum class CallKind { kStream, kOrder, kLook, kBadPart, kBadLook };
+enum class CallKind { kStream, kOrder, kLook, kBadPart, kBadLook, kLongOrder };
 
 class SoakRun;
 
@@ -74,11 +80,14 @@
 
   void Start();
   bool OnHead(const HttpResponseHead& head) override;
-  void OnBody(std::string_view bytes) override { m_body.append(bytes); }
+  void OnBody(std::string_view bytes) override;
   void OnDone() override;
   void OnFailed(const HttpFailure& failure) override;
 
  private:
+  bool IsOrder() const { return m_kind == CallKind::kOrder || m_kind == CallKind::kLongOrder; }
+  // Returns the body of the request.
+  std::string Request() const;
   void Judge();
   void End(const std::string& outcome);
   // Returns whether the request crashes the upstreams that run it.
@@ -95,6 +104,7 @@
   std::string m_body;
   std::shared_ptr<ClientCall> m_call;
   std::unique_ptr<Timer> m_timer;
+  std::unique_ptr<Timer> m_slow_read;
 };
 
 class SoakRun {
@@ -227,6 +237,7 @@
       spec.failure_domain = i % kDomains == 0 ? "a" : "b";
       spec.address = Address(1, i, 8201);
       const bool engine = i < kUpstreamsPerDomain * kDomains;
+      spec.framed = !m_options.hard_transfers || m_random->Below(2) == 0;
       spec.service = engine ? "model" : "orders";
       spec.accelerator = !engine ? "" : i % 4 < 2 ? "fast" : "slow";
       auto upstream = std::make_unique<PlatformUpstream>(&m_io, m_loop.get(), m_store.get(),
@@ -250,8 +261,12 @@
       if (instance->store_link == nullptr) {
         return false;
       }
-      std::ofstream(instance->settings_path) << fakes::PlatformSettings(
-          instance->name, i % 2 == 0 ? "a" : "b", instance->ip, EndpointText(link));
+      std::string settings = fakes::PlatformSettings(instance->name, i % 2 == 0 ? "a" : "b",
+                                                     instance->ip, EndpointText(link));
+      const std::string section = "[limits]\n";
+      settings.insert(settings.find(section) + section.size(),
+                      "memoryMb = " + std::to_string(kMemoryMb) + "\n");
+      std::ofstream(instance->settings_path) << settings;
       m_instances.push_back(std::move(instance));
       StartInstance(m_instances.back().get());
     }
@@ -284,11 +299,13 @@
     const bool bad_part = m_options.bad_part && m_random->Below(15) == 0;
     const bool bad_look = m_options.bad_look && m_random->Below(15) == 0;
     const uint64_t draw = m_random->Below(10);
-    const CallKind kind = bad_part   ? CallKind::kBadPart
-                          : bad_look ? CallKind::kBadLook
-                          : draw < 5 ? CallKind::kStream
-                          : draw < 8 ? CallKind::kOrder
-                                     : CallKind::kLook;
+    const bool long_order = m_options.hard_transfers && m_random->Below(20) == 0;
+    const CallKind kind = bad_part     ? CallKind::kBadPart
+                          : bad_look   ? CallKind::kBadLook
+                          : long_order ? CallKind::kLongOrder
+                          : draw < 5   ? CallKind::kStream
+                          : draw < 8   ? CallKind::kOrder
+                                       : CallKind::kLook;
     // Some callers go on with a key that was removed.
     const bool old_key = !m_finishing && !m_revoked.empty() && m_random->Below(8) == 0;
     const std::string key = old_key ? m_revoked.begin()->first : m_keys.back();
@@ -310,6 +327,9 @@
       RestoreStore(time);
       return;
     }
+    if (m_options.hard_transfers && HardTransferFault(instance, upstream)) {
+      return;
+    }
     switch (m_random->Below(11)) {
       case 0:
         Note("kill " + instance->name);
@@ -389,6 +409,9 @@
         WriteConfig();
         break;
       default:
+        if (m_late_operator) {
+          break;  // Nobody would know what the restored store lacks.
+        }
         Note("kill all");
         for (const auto& each : m_instances) {
           Kill(each.get());
@@ -412,8 +435,93 @@
     Later(time + rewrite + kBackupDelay, [this] { m_store->BackUp(); });
   }
 
+  // Brings about one of the faults of hard transfers, mostly. Returns whether it did.
+  bool HardTransferFault(Instance* instance, PlatformUpstream* upstream) {
+    switch (m_random->Below(6)) {
+      case 0:
+        Note("crash amid answers " + upstream->Spec().id);
+        upstream->Crash();
+        Later(Milliseconds(500), [upstream] { upstream->Start(); });
+        return true;
+      case 1:
+        Note("leaving amid answers " + upstream->Spec().id);
+        upstream->Leave(Milliseconds(2600), true);
+        Later(Milliseconds(4000), [upstream] { upstream->Start(); });
+        return true;
+      case 2:
+        SendWithoutEnd(instance);
+        return true;
+      case 3:
+        if (!m_late_operator) {
+          RestoreForLateOperator();
+        }
+        return true;
+      default:
+        return false;
+    }
+  }
+
+  // Some callers send trailers, chunk extensions or bodies to `instance` without end.
+  void SendWithoutEnd(Instance* instance) {
+    const std::string head =
+        "POST /order/x HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: hostile\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string piece(65536, 'a');
+    const std::vector<testing::HostileRequest> requests = {
+        {chunked + "5;a=", piece, kHostileBytes},
+        {chunked + "1\r\nx\r\n0\r\nX-Trailer: ", piece, kHostileBytes},
+        {head + "Content-Length: 4194304\r\n\r\n", piece, 4194303}};
+    const size_t kind = m_random->Below(requests.size());
+    Note("callers send without end " + std::to_string(kind) + " to " + instance->name);
+    for (int i = 0; i < (kind == 2 ? 40 : 2); ++i) {
+      m_hostile.push_back(testing::MakeHostileCaller(
+          &m_io, {asio::ip::make_address(instance->ip), fakes::kStandInCallerPort},
+          requests[kind]));
+    }
+  }
+
+  // A key is removed at the moment at which the store is lost. Its copy lacks also the version
+  // before, which the instances have. The operator writes seconds after its return.
+  void RestoreForLateOperator() {
+    Note("restore for a late operator");
+    m_late_operator = true;
+    m_store->BackUp();
+    WriteConfig();
+    const Milliseconds away(500 + static_cast<int64_t>(m_random->Below(2000)));
+    const Milliseconds rewrite(2500 + static_cast<int64_t>(m_random->Below(2000)));
+    constexpr Milliseconds kAdopted{400};
+    Later(kAdopted, [this] {
+      m_store->InjectFault(PlatformStore::Fault::kUnresponsive);
+      m_revoked[m_keys.front()] = m_loop->Now();
+      m_keys = {"key-" + std::to_string(m_version)};
+      WriteConfig();
+    });
+    m_store_disturbed_at = m_loop->Now() + kAdopted + away + rewrite;
+    Later(kAdopted + away, [this] {
+      m_store->Restore();
+      m_store->InjectFault(PlatformStore::Fault::kNone);
+    });
+    Later(kAdopted + away + rewrite, [this] {
+      PutConfig();
+      m_late_operator = false;
+    });
+  }
+
+  // Records the peak of the memory of a process before it ends.
+  void JudgeMemory(const Instance& instance) {
+    if (m_options.hard_transfers && instance.process != nullptr) {
+      const int peak_mb = testing::PeakMemoryMb(instance.process->pid());
+      if (peak_mb > kMemoryMb) {
+        Violation(instance.name + " has used " + std::to_string(peak_mb) + " MB of memory");
+      }
+    }
+  }
+
   void EndFaults() {
     Note("end of faults");
+    m_late_operator = false;
+    m_hostile.clear();
+
     m_later.clear();
     PutConfig();
     m_store->InjectFault(PlatformStore::Fault::kNone);
@@ -445,6 +553,7 @@
   }
   void Kill(Instance* instance) {
     Disturb(instance, Milliseconds(100));
+    JudgeMemory(*instance);
     if (instance->process) {
       instance->process->Kill();
       instance->process.reset();
@@ -508,6 +617,7 @@
       if (instance->process == nullptr) {
         continue;
       }
+      JudgeMemory(*instance);
       instance->process->Signal(SIGTERM);
     }
     Let(Milliseconds(4000));
@@ -552,6 +662,7 @@
   std::vector<std::unique_ptr<Instance>> m_instances;
   std::vector<std::unique_ptr<Caller>> m_callers;
   std::vector<std::unique_ptr<Timer>> m_later;
+  std::vector<std::unique_ptr<testing::HostileCaller>> m_hostile;
   std::unique_ptr<Timer> m_send_timer;
   std::vector<std::string> m_keys;
   // Instance that a request was sent to, and when.
@@ -576,7 +687,8 @@
   uint64_t m_version = 0;
   int m_next_id = 0;
   int m_good = 0;
-  bool m_finishing = false;  // All calls must be served.
+  bool m_finishing = false;      // All calls must be served.
+  bool m_late_operator = false;  // The restored store lacks what the operator has not written yet.
 };
 
 Caller::Caller(SoakRun* run, CallKind kind, std::string id, std::string key, Instance* instance)
@@ -586,7 +698,7 @@
   HttpRequest request;
   request.method(http::verb::post);
   const bool stream = m_kind == CallKind::kStream || m_kind == CallKind::kBadPart;
-  request.target(stream ? "/model/x" : m_kind == CallKind::kOrder ? "/order/x" : "/look/x");
+  request.target(stream ? "/model/x" : IsOrder() ? "/order/x" : "/look/x");
   request.set(http::field::host, "soak.example");
   request.set("X-Request-Id", m_id);
   request.set("Api-Key", m_key);
@@ -597,7 +709,7 @@
     const std::string middle = m_kind == CallKind::kBadPart ? fakes::kBadPart : "7a11";
     request.set("X-Prompt-Prefix", "5a5a:40," + middle + ":20," + m_id.substr(1) + ":40");
   }
-  request.body() = m_kind == CallKind::kBadLook ? fakes::kBadBody : "body of " + m_id;
+  request.body() = Request();
   request.prepare_payload();
   HttpCallOptions options;
   options.endpoint =
@@ -614,6 +726,25 @@
   });
 }
 
+std::string Caller::Request() const {
+  switch (m_kind) {
+    case CallKind::kBadLook:
+      return fakes::kBadBody;
+    case CallKind::kLongOrder:
+      return fakes::kLongBody + m_id;
+    default:
+      return "body of " + m_id;
+  }
+}
+
+void Caller::OnBody(std::string_view bytes) {
+  if (m_kind == CallKind::kLongOrder && m_body.empty()) {
+    m_call->Pause();
+    m_slow_read = m_run->Loop()->After(kSlowReadPause, [this] { m_call->Resume(); });
+  }
+  m_body.append(bytes);
+}
+
 bool Caller::OnHead(const HttpResponseHead& head) {
   const auto id = head["X-Request-Id"];
   if (!id.empty() && std::string(id.data(), id.size()) != m_id) {
@@ -627,7 +758,14 @@
 void Caller::OnDone() { Judge(); }
 
 void Caller::OnFailed(const HttpFailure& /*failure*/) {
-  // Broken off, or never answered; this promises nothing.
+  // Broken off, or never answered; this promises nothing, but only the end of a process or of its
+  // upstream excuses it.
+  const bool undisturbed = m_instance->process != nullptr && !m_instance->stopping &&
+                           m_instance->restarted_at + kDeadlineSlack < m_sent &&
+                           m_instance->disturbed_until < m_sent;
+  if (m_kind == CallKind::kLongOrder && m_status == 0 && undisturbed && m_run->Runs(m_id) > 0) {
+    m_run->Violation(m_id + " ran, and its connection ended without an answer");
+  }
   End(m_status == 0 ? "connection failed" : "broken off");
 }
 
@@ -635,7 +773,7 @@
   if (m_status == 200 && IsBad()) {
     m_run->Violation(m_id + ", which crashes upstreams, got an answer");
   } else if (m_status == 200) {
-    std::string whole = "done body of " + m_id;
+    std::string whole = fakes::PlainAnswer(Request());
     if (m_kind == CallKind::kStream) {
       whole.clear();
       for (int i = 1; i <= fakes::kStreamEvents; ++i) {
@@ -651,7 +789,7 @@
       m_run->Violation(m_id + " was served with " + m_key + ", which was removed long before");
     }
   }
-  if (m_kind == CallKind::kOrder && m_run->Runs(m_id) > 1) {
+  if (IsOrder() && m_run->Runs(m_id) > 1) {
     m_run->Violation(m_id + ", an order, ran " + std::to_string(m_run->Runs(m_id)) + " times");
   }
   if (m_status == 503 || m_status == 429 || m_status == 408 || m_status == 421) {
@@ -665,6 +803,7 @@
 
 void Caller::End(const std::string& outcome) {
   m_timer.reset();
+  m_slow_read.reset();
   if (IsBad()) {
     m_run->Count("bad: " + outcome, false);
     return;
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -26,6 +26,9 @@
   bool bad_look = false;
   // The store is restored from older copies.
   bool restores = false;
+  // Answers that end with their connection, long answers to callers that read slowly, callers that
+  // send without end, and an operator who writes late to a restored store.
+  bool hard_transfers = false;
 };
 
 struct SoakReport {
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -91,6 +91,14 @@
   PlaySeeds(1, 2, options);
 }
 
+// Guards against truncated answers that look whole, long answers that are lost, memory that callers
+// take without end, and removed keys that a restored store brings back.
+BOOST_AUTO_TEST_CASE(promises_hold_for_hard_transfers) {
+  SoakOptions options;
+  options.hard_transfers = true;
+  PlaySeeds(1, 2, options);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -116,6 +116,16 @@
   return result;
 }
 
+int PeakMemoryMb(pid_t pid) {
+  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.rfind("VmHWM:", 0) == 0) {
+      return std::stoi(line.substr(6)) / 1024;
+    }
+  }
+  return -1;
+}
+
 std::string FreeAddress() {
   static std::atomic<uint32_t> next{static_cast<uint32_t>(::getpid()) * 97};
   while (true) {
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -52,6 +52,9 @@
 // Runs a command to its end; kills it after 30 s.
 CommandResult RunCommand(const std::vector<std::string>& arguments);
 
+// Returns the peak of a process's resident memory so far, in MB; -1 if it does not run.
+int PeakMemoryMb(pid_t pid);
+
 // "127.0.0.1:PORT" with a port that the kernel found free.
 std::string FreeAddress();
 
