Make room of connections whose callers leave any response unread

What callers saw: nothing yet; found by reading. A caller that sends requests one after the other and reads no response keeps its connection in service without end, where neither the limit of connections nor the time limit of reading reached it unless 64 KiB waited. Cause: unsent bytes were reported to the budget only beyond the window of a response. Change: once a second, a write that has been pending since the last time is reported with its bytes, so that the connection can make room for others and is reset after the idle timeout. Measured: a test of the decision.

--- a/src/admission/receive_budget.cc
+++ b/src/admission/receive_budget.cc
@@ -31,8 +31,8 @@
   ConnectionId victim = id;
   std::optional<std::tuple<bool, TimePoint>> lowest;
   for (const auto& [other, connection] : m_connections) {
-    if (other != id && connection.phase != Phase::kServing &&
-        (!lowest || rank(connection) < *lowest)) {
+    const bool waits_for_caller = connection.phase != Phase::kServing || connection.unsent > 0;
+    if (other != id && waits_for_caller && (!lowest || rank(connection) < *lowest)) {
       lowest = rank(connection);
       victim = other;
     }
--- a/src/forward/caller_listener.cc
+++ b/src/forward/caller_listener.cc
@@ -22,6 +22,7 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "azuregw/admission/receive_budget.h"
 #include "azuregw/forward/transfer_limits.h"
@@ -94,6 +95,8 @@
   bool Active() const { return m_exchange != nullptr; }
   // Ends the connection because a limit that all connections share is exceeded.
   void Evict(const char* limit);
+  // Reports the unsent bytes of a write that was already pending at the last call.
+  void ReportStalledWrite();
 
   // ---- CallerResponder ----
   void SendResponse(BufferedResponse reply) override;
@@ -179,6 +182,9 @@
   size_t m_unsent_bytes = 0;         // Bytes queued or being written.
   uint64_t m_request_bytes = 0;      // Memory of the request that is being served.
   bool m_writing = false;
+  uint64_t m_writes = 0;           // Writes begun.
+  uint64_t m_pending_write = 0;    // Value of `m_writes` at the last ReportStalledWrite().
+  bool m_unsent_reported = false;  // The budget knows of unsent bytes.
   bool m_closed = false;
   // Self-reference that keeps the connection alive while a request is served and the next one is
   // already received.
@@ -262,6 +268,16 @@
   // Ends connections whose callers do not read their responses.
   void Sweep() {
     m_sweep_timer = m_context->loop->After(kSweepInterval, [this] {
+      std::vector<ReceiveBudget::ConnectionId> open;
+      for (const auto& [id, connection] : m_state->connections) {
+        open.push_back(id);
+      }
+      for (const auto id : open) {
+        const auto found = m_state->connections.find(id);
+        if (found != m_state->connections.end()) {
+          found->second->ReportStalledWrite();  // May end others.
+        }
+      }
       const auto& config = m_context->routes->Config();
       const Milliseconds limit =
           config == nullptr ? kDefaultIdleTimeout : config->limits.idle_timeout;
@@ -369,6 +385,7 @@
   } else if (m_exchange != nullptr) {
     held += m_request_bytes;
   }
+  m_unsent_reported = m_unsent_bytes > 0;
   for (const auto id : Budget().SetHeld(m_id, held, m_unsent_bytes)) {
     const auto found = m_state->connections.find(id);
     if (found != m_state->connections.end()) {
@@ -377,6 +394,13 @@
   }
 }
 
+void CallerConnection::ReportStalledWrite() {
+  if (m_writing && m_writes == m_pending_write && !m_unsent_reported) {
+    UpdateHeld();
+  }
+  m_pending_write = m_writes;
+}
+
 void CallerConnection::WaitForRequest() {
   if (m_closed) {
     return;
@@ -712,6 +736,7 @@
     m_unsent.pop_front();
   }
   m_unsent_bytes = bytes->size();
+  ++m_writes;
   asio::async_write(m_socket, asio::buffer(*bytes),
                     [self = shared_from_this(), bytes](error_code error, size_t) {
                       if (self->m_closed) {
@@ -723,12 +748,12 @@
                         self->Close();
                         return;
                       }
-                      if (backlogged) {
+                      if (self->m_unsent_reported) {
                         self->Budget().OnSent(self->m_id, self->m_context->loop->Now());
                         self->UpdateHeld();
-                        if (self->m_exchange != nullptr && !self->Backlogged()) {
-                          self->m_exchange->OnCallerReads();
-                        }
+                      }
+                      if (backlogged && self->m_exchange != nullptr && !self->Backlogged()) {
+                        self->m_exchange->OnCallerReads();
                       }
                       self->WriteNext();
                     });
--- a/tests/admission/receive_budget_test.cc
+++ b/tests/admission/receive_budget_test.cc
@@ -160,6 +160,17 @@
   BOOST_TEST((f.budget.Add(100, f.At(400)) == std::optional<uint64_t>(100)));
 }
 
+// Load pattern: callers that send requests without end and read none of the responses.
+BOOST_AUTO_TEST_CASE(connection_whose_caller_does_not_read_makes_room) {
+  Fixture f;
+  for (uint64_t id = 0; id < 100; ++id) {
+    f.budget.Add(id, f.At(0));
+    f.budget.SetPhase(id, Phase::kServing, f.At(1));
+  }
+  f.budget.SetHeld(7, kKiB, kKiB);
+  BOOST_TEST((f.budget.Add(100, f.At(400)) == std::optional<uint64_t>(7)));
+}
+
 BOOST_AUTO_TEST_CASE(removed_connection_holds_nothing) {
   Fixture f;
   f.Receive(1, 0);
