--- a/include/azuregw/admission/receive_budget.h
+++ b/include/azuregw/admission/receive_budget.h
@@ -61,8 +61,8 @@
 
   explicit ReceiveBudget(Limits limits) : m_limits(limits) {}
 
-  // Adds a connection. Returns the connection to close in exchange, which is `id` itself if no other
-  // one waits for its caller; nullopt if there is room.
+  // Adds a connection. Returns the connection to close in exchange, which is `id` itself if no
+  // other one waits for its caller; nullopt if there is room.
   std::optional<ConnectionId> Add(ConnectionId id, TimePoint now);
   void Remove(ConnectionId id);
 
