--- a/review/stand_ins_2/common.sh
+++ b/review/stand_ins_2/common.sh
@@ -109,6 +109,25 @@
   pids+=($!)
 }
 
+# limit_memory N...: in the background, ends the process of a machine that has exceeded its memoryMb, as the platform does.
+limit_memory() {
+  (
+    while [ ! -e "$tmp/stop" ]; do
+      for machine in "$@"; do
+        local pid peak
+        pid=$(cat "$tmp/gw-$machine.pid")
+        peak=$(awk '/^VmHWM/ { print $2 }' "/proc/$pid/status" 2> /dev/null)
+        if [ "${peak:-0}" -gt $((260 * 1024)) ] && kill -KILL "$pid" 2> /dev/null; then
+          note "killed: machine $machine has used $peak kB, more than 260 MB"
+          sleep 0.1
+        fi
+      done
+      sleep 0.05
+    done
+  ) &
+  pids+=($!)
+}
+
 # wait_ready N...: waits until the machines are ready.
 wait_ready() {
   for machine in "$@"; do
--- a/review/stand_ins_2/platform.cc
+++ b/review/stand_ins_2/platform.cc
@@ -10,6 +10,8 @@
 //   events=N      events of a stream
 //   junk=N        the first model engine spoils its answers: after three events it sends an event
 //                 whose ID is N bytes long, and closes the connection
+//   report=N      the first model engine is faulty: its streams fall silent after three events, and
+//                 its report is a whole answer of N times the byte '['
 //   foreign=N     after the time foreign_at, another writer adds N entries to the list of engines
 //   that
 //                 have no `slots`, `version`, `sequence` and `born`, each with a kind of its own
@@ -106,7 +108,8 @@
     bool model = false;
     int work_ms = 20;
     int events = 50;
-    int junk_bytes = 0;  // 0: the engine is sound.
+    int junk_bytes = 0;    // 0: its events are sound.
+    int report_bytes = 0;  // 0: its reports are sound.
   };
 
   Engine(EventLoop* loop, fakes::PlatformStore* store, Record* record, Spec spec)
@@ -146,6 +149,12 @@
 
   void Handle(const StandInRequest& request, const Reply& reply) {
     const std::string path = fakes::PathOf(request);
+    if (path == "/azuregw/report" && m_spec.report_bytes > 0) {
+      m_record->Line("long report of " + m_spec.id);
+      reply->Whole(200, {{"Content-Type", "application/json"}},
+                   std::string(static_cast<size_t>(m_spec.report_bytes), '['));
+      return;
+    }
     if (path == "/azuregw/report") {
       json report = {{"busy", false}, {"sequence", m_sequence},   {"born", m_born},
                      {"pace", 1.0},   {"stalled", json::array()}, {"waiting", 0},
@@ -197,6 +206,9 @@
       if (!reply->Open()) {
         return;
       }
+      if (m_spec.report_bytes > 0 && sent == 3) {
+        return;
+      }
       if (m_spec.junk_bytes > 0 && sent == 3) {
         m_record->Line("junk " + id + " at " + m_spec.id);
         reply->Chunk("id: " + std::string(static_cast<size_t>(m_spec.junk_bytes), 'x') + "\n\n");
@@ -310,6 +322,7 @@
     spec.work_ms = options.Number("work", spec.work_ms);
     spec.events = options.Number("events", spec.events);
     spec.junk_bytes = i == 0 ? options.Number("junk", 0) : 0;
+    spec.report_bytes = i == 0 ? options.Number("report", 0) : 0;
     engines.push_back(std::make_unique<Engine>(loop.get(), &store, &record, std::move(spec)));
     started = engines.back()->Start(&io);
   }
