Show that instances started in an outage honour a removed key after a restore

Rule CONFIG, strictRevoke: requests with a removed key run 5.2 to 6.1 s after the acknowledgement at the two machines that were killed while the store was away.

--- a/review/stand_ins_2/platform.cc
+++ b/review/stand_ins_2/platform.cc
@@ -16,6 +16,10 @@
 //   that
 //                 have no `slots`, `version`, `sequence` and `born`, each with a kind of its own
 //   keys=A,B      API keys of the only tenant
+//   remove_at=N   the operator takes the last key away (version 8) after the time N
+//   drill=N       the store keeps a copy just before that, is away from 100 ms after that on for N,
+//                 and comes back from the copy
+//   rewrite=N     the operator writes version 8 again N after the return
 //   head=N        maxHeaderBytes of the configuration
 // The process ends with SIGTERM, or by itself after two minutes.
 
@@ -51,6 +55,8 @@
 constexpr uint16_t kStorePort = 8223;
 constexpr uint16_t kEnginePort = 8201;
 constexpr int kLayers = 16;
+constexpr int kFirstVersion = 7;
+constexpr Milliseconds kStoreLostDelay{100};
 constexpr Milliseconds kHeartbeat{1200};
 constexpr Milliseconds kEventGap{40};
 constexpr Milliseconds kLongestRun{120000};
@@ -264,7 +270,7 @@
           {"streamResume", kind == "streaming"}};
 }
 
-std::string Config(const Options& options) {
+std::string Config(const Options& options, int version) {
   const json engine = {
       {"layers", kLayers},
       {"layerMb", 1000},
@@ -281,9 +287,12 @@
   for (size_t begin = 0; begin < list.size(); begin = list.find(',', begin) + 1) {
     keys.push_back(list.substr(begin, list.find(',', begin) - begin));
   }
+  if (version > kFirstVersion) {
+    keys.erase(keys.size() - 1);
+  }
   const int timeout_ms = options.Number("timeout", 2000);
   const json config = {
-      {"version", 7},
+      {"version", version},
       {"routes", json::array({Route("model", "streaming", "model", 20000, 2),
                               Route("order", "non_idempotent", "orders", timeout_ms, 1),
                               Route("look", "idempotent", "orders", timeout_ms, 2)})},
@@ -330,7 +339,36 @@
     std::cerr << "an address of " << net << " cannot be bound\n";
     return 2;
   }
-  store.Put("op/config", Config(options));
+  store.Put("op/config", Config(options, kFirstVersion));
+  const std::string second = Config(options, kFirstVersion + 1);
+  std::vector<std::unique_ptr<Timer>> timers;
+  const auto at = [&](int time_ms, std::function<void()> action) {
+    timers.push_back(loop->After(Milliseconds(time_ms), std::move(action)));
+  };
+  const int drill_ms = options.Number("drill", 0);
+  if (const int remove_at = options.Number("remove_at", 0); remove_at > 0) {
+    at(remove_at, [&] {
+      store.BackUp();
+      store.Put("op/config", second);
+      record.Line("acknowledged: version 8, which takes a key away");
+    });
+    if (drill_ms > 0) {
+      const int lost_at = remove_at + static_cast<int>(kStoreLostDelay.count());
+      at(lost_at, [&] {
+        store.InjectFault(fakes::PlatformStore::Fault::kUnavailable);
+        record.Line("store: away");
+      });
+      at(lost_at + drill_ms, [&] {
+        store.Restore();
+        store.InjectFault(fakes::PlatformStore::Fault::kNone);
+        record.Line("store: back from a copy with version 7");
+      });
+      at(lost_at + drill_ms + options.Number("rewrite", 0), [&] {
+        store.Put("op/config", second);
+        record.Line("written: version 8 again");
+      });
+    }
+  }
   const std::unique_ptr<Timer> foreign =
       loop->After(Milliseconds(options.Number("foreign_at", 0)), [&] {
         for (int i = 0; i < options.Number("foreign", 0); ++i) {
