--- a/review/stand_ins_2/common.sh
+++ b/review/stand_ins_2/common.sh
@@ -36,7 +36,7 @@
   "$bin/review-2/platform" "$net" "$record" "$@" > "$tmp/platform.log" 2>&1 &
   pids+=($!)
   for _ in $(seq 50); do
-    grep -q ready "$tmp/platform.log" && return
+    grep -qs ready "$tmp/platform.log" && return
     sleep 0.1
   done
   cannot "the platform does not start"
