Accept after a stop signal only what ends within the grace period

Cause: plain requests were accepted until 1.5 s before the end of the grace period, whatever their deadline and the timeout of their route, and the process ended 0.3 s before it. 1.2 s were left for requests that may take as long as their route allows. What still ran at the end was dropped without a response. Ruled out: the balancer, which sends requests to stopping instances when few are left, as documented, and the upstream, which answered in time.

Change: StopPolicy accepts a request if it ends in time even when it takes as long as it may, and streams that their callers can resume for 2.9 s. Others are refused as not run. Upstreams get no more time than the process has. 300 ms before the end each running request gets its final response: 504 if it may have run, 503 as not run otherwise.

This works because the promise is compared with the end of the process when it is given, and what was promised before the signal ends truthfully.

--- a/include/azuregw/forward/caller_listener.h
+++ b/include/azuregw/forward/caller_listener.h
@@ -25,6 +25,8 @@
   // Sends `Connection: close` with every later response. Idle connections are closed after a short
   // timeout, so that requests already in flight are still served.
   virtual void Drain() = 0;
+  // Ends the response of each request that is being served, because the process exits shortly.
+  virtual void EndRequests() = 0;
   // Returns the number of open connections.
   virtual int Connections() const = 0;
   // Returns the number of requests that are being served.
--- a/include/azuregw/forward/exchange.h
+++ b/include/azuregw/forward/exchange.h
@@ -11,6 +11,7 @@
 
 #include "azuregw/admission/prompt_quarantine.h"
 #include "azuregw/admission/shared_retry_budget.h"
+#include "azuregw/admission/stop_policy.h"
 #include "azuregw/admission/stream_queue.h"
 #include "azuregw/base/event_loop.h"
 #include "azuregw/base/random.h"
@@ -54,8 +55,8 @@
   Milliseconds load_age{0};
   // Last known number of instances that serve callers.
   int instances = 1;
-  // Time of the stop signal; nullopt while the instance is not stopping.
-  std::optional<TimePoint> stopping_since;
+  // Set once the instance has received a stop signal.
+  std::optional<StopWindow> stop;
 };
 
 // Request as received from a caller, with its body.
@@ -101,6 +102,8 @@
   virtual void Start() = 0;
   // The caller has read enough of a response that was backlogged.
   virtual void OnCallerReads() {}
+  // The process exits shortly. Ends the response, and says truly whether the request may have run.
+  virtual void OnStopDeadline() {}
 };
 
 // Matches the route and creates the exchange for it. A request that is rejected without an upstream
--- a/src/forward/caller_listener.cc
+++ b/src/forward/caller_listener.cc
@@ -93,6 +93,12 @@
   void Start() { WaitForRequest(); }
   void Drain();
   bool Active() const { return m_exchange != nullptr; }
+  // Ends the response of the request that is being served, if any.
+  void EndRequest() {
+    if (m_exchange != nullptr) {
+      m_exchange->OnStopDeadline();
+    }
+  }
   // Ends the connection because a limit that all connections share is exceeded.
   void Evict(const char* limit);
   // Reports the unsent bytes of a write that was already pending at the last call.
@@ -249,6 +255,18 @@
       connection->Drain();
     }
   }
+  void EndRequests() override {
+    // Ending a response may close its connection and others.
+    std::vector<std::weak_ptr<CallerConnection>> open;
+    for (const auto& [id, connection] : m_state->connections) {
+      open.push_back(connection->weak_from_this());
+    }
+    for (const auto& entry : open) {
+      if (const auto connection = entry.lock()) {
+        connection->EndRequest();
+      }
+    }
+  }
   int Connections() const override { return static_cast<int>(m_state->connections.size()); }
   int ActiveExchanges() const override {
     return static_cast<int>(
--- a/src/forward/exchange_base.cc
+++ b/src/forward/exchange_base.cc
@@ -57,22 +57,20 @@
   return text;
 }
 
-// Time after a stop signal during which streams are accepted. Later ones could not end within the
-// grace period. By then, the load balancer sends callers elsewhere unless too few instances are
-// left.
-constexpr Milliseconds kStreamAcceptanceAfterStop{2900};
-// Plain requests are accepted until this long before the end of the grace period.
-constexpr Milliseconds kPlainStopMargin{1500};
-// Retry-After of requests that another instance can serve.
-constexpr Milliseconds kStoppingRetryAfter{50};
+// Returns the longest time that the request may take.
+Milliseconds RequestLimit(const CallerRequest& caller, const RouteSpec& route) {
+  Milliseconds limit = std::min(caller.deadline.value_or(kDefaultDeadline), kMaxDeadline);
+  return route.timeout.count() > 0 ? std::min(limit, route.timeout) : limit;
+}
 
-bool RefusedByStop(const ForwardContext& context, bool stream) {
-  if (!context.stopping_since) {
+bool RefusedByStop(const ForwardContext& context, const CallerRequest& caller,
+                   const RouteSpec& route) {
+  if (!context.stop) {
     return false;
   }
-  const auto since = context.loop->Now() - *context.stopping_since;
-  return since >
-         (stream ? kStreamAcceptanceAfterStop : context.settings.stop_grace - kPlainStopMargin);
+  const bool stream = route.retry_policy == RetryPolicy::kStream;
+  const RequestPromise promise{RequestLimit(caller, route), stream && route.resumable};
+  return !AcceptedWhileStopping(*context.stop, promise, context.loop->Now());
 }
 
 // Sends a locally generated response without an upstream.
@@ -136,16 +134,14 @@
       m_match(std::move(match)),
       m_responder(responder),
       m_service(PickService(*m_match.route, context->random->Unit())) {
-  Milliseconds limit = m_caller.deadline.value_or(kDefaultDeadline);
-  if (Route().timeout.count() > 0) {
-    limit = std::min(limit, Route().timeout);
-  }
-  m_deadline = m_request.arrived + std::min(limit, kMaxDeadline);
+  m_deadline = m_request.arrived + RequestLimit(m_caller, Route());
   m_context->budget->OnRequest(m_service, Now());
 }
 
 Milliseconds ExchangeBase::TimeLeft() const {
-  return std::max(Milliseconds(0), std::chrono::duration_cast<Milliseconds>(m_deadline - Now()));
+  const TimePoint end =
+      m_context->stop ? std::min(m_deadline, StopResponseTime(*m_context->stop)) : m_deadline;
+  return std::max(Milliseconds(0), std::chrono::duration_cast<Milliseconds>(end - Now()));
 }
 
 void ExchangeBase::StartDeadline() {
@@ -156,6 +152,13 @@
   });
 }
 
+void ExchangeBase::OnStopDeadline() {
+  if (!m_closed) {
+    m_context->metrics->Add("azuregw_requests_ended_by_stop_total", "", 1);
+    OnDeadline();
+  }
+}
+
 PartId ExchangeBase::RequestPart() const {
   const auto method = m_request.message.method_string();
   const auto target = m_request.message.target();
@@ -252,7 +255,8 @@
       std::string_view(host.data(), host.size()), path, caller.key, context->loop->Now(), &match);
   const bool stream =
       route_status == RouteStatus::kMatched && match.route->retry_policy == RetryPolicy::kStream;
-  const bool stopping = route_status == RouteStatus::kMatched && RefusedByStop(*context, stream);
+  const bool stopping =
+      route_status == RouteStatus::kMatched && RefusedByStop(*context, caller, *match.route);
   if (route_status == RouteStatus::kMatched && !stopping) {
     return stream ? MakeStreamExchange(context, std::move(request), std::move(caller),
                                        std::move(match), responder)
--- a/src/forward/exchange_base.h
+++ b/src/forward/exchange_base.h
@@ -13,6 +13,9 @@
 
 namespace azuregw {
 
+// Retry-After of requests that another instance can serve at once.
+constexpr Milliseconds kStoppingRetryAfter{50};
+
 // Implements the deadline, locally generated responses and the final log line of an exchange.
 class ExchangeBase : public ForwardExchange {
  public:
@@ -21,14 +24,18 @@
   // Destructors of subclasses call CloseIfCallerGone(), since AddDetails() is virtual.
   ~ExchangeBase() override = default;
 
+  void OnStopDeadline() override;
+
  protected:
-  // Called once, when the deadline of the caller or the timeout of the route has passed.
+  // Called once, when the deadline of the caller or the timeout of the route has passed, or shortly
+  // before the process exits.
   virtual void OnDeadline() = 0;
   // Adds members to the final log line.
   virtual void AddDetails(nlohmann::ordered_json* /*line*/) const {}
 
   TimePoint Now() const { return m_context->loop->Now(); }
-  // Returns the time until the deadline; 0 if it has passed.
+  // Returns the time until the deadline, or until the last response of a stopping instance; 0 if it
+  // has passed. Upstreams get no more time than that.
   Milliseconds TimeLeft() const;
   // Starts the timer that calls OnDeadline().
   void StartDeadline();
@@ -43,6 +50,12 @@
   HttpRequest ForwardedMessage(const std::string& upstream_id, gsl::span<const PathHop> path,
                                const std::optional<std::string>& resume_after) const;
 
+  // Returns when a caller should come back whose request did not run within TimeLeft(): at once if
+  // this instance stops, never if its deadline has passed.
+  std::optional<Milliseconds> RetryAfterDeadline() const {
+    return Now() < m_deadline ? std::optional(kStoppingRetryAfter) : std::nullopt;
+  }
+
   // Sends a 503 response that states that the request did not run.
   void Refuse(ResultCode code, const std::string& reason, std::optional<Milliseconds> retry_after);
   // Sends a 502 or 504 response that leaves open whether the request ran.
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -39,8 +39,6 @@
 constexpr char kQuarantineKey[] = "azuregw/quarantine";
 // Age of the store data above which the instance reports itself as not ready.
 constexpr Milliseconds kMaxReadyStoreAge{3500};
-// Part of the grace period left for the process to exit.
-constexpr Milliseconds kStopMargin{300};
 // New connections may arrive until the load balancer has missed two readiness responses.
 constexpr Milliseconds kBalancerNoticeTime{2600};
 constexpr Milliseconds kStopPollInterval{50};
@@ -351,19 +349,25 @@
         "stopping",
         {{"connections", m_listener->Connections()}, {"requests", m_listener->ActiveExchanges()}},
         true);
-    m_context.stopping_since = m_stop_requested;
+    m_context.stop = StopWindow{m_stop_requested, m_context.settings.stop_grace};
     m_leader_lease.Stop();
     m_listener->Drain();
     PollStop();
   }
 
   void PollStop() {
-    const auto since = m_loop->Now() - m_stop_requested;
-    const bool idle = m_listener->Connections() == 0 && since >= kBalancerNoticeTime;
-    if (idle || since >= m_context.settings.stop_grace - kStopMargin) {
+    const TimePoint now = m_loop->Now();
+    const bool idle =
+        m_listener->Connections() == 0 && now - m_stop_requested >= kBalancerNoticeTime;
+    if (idle || now >= StopExitTime(*m_context.stop)) {
       m_io.stop();
       return;
     }
+    if (!m_requests_ended && now >= StopResponseTime(*m_context.stop)) {
+      m_requests_ended = true;
+      m_log->Write("stop_ends_requests", {{"requests", m_listener->ActiveExchanges()}}, true);
+      m_listener->EndRequests();
+    }
     m_stop_timer = m_loop->After(kStopPollInterval, [this] { PollStop(); });
   }
 
@@ -403,7 +407,8 @@
   int m_last_instances = kAssumedInstances;  // Last known number of instances.
   std::map<PartId, int> m_quarantined;       // Quarantined parts at the last tick, for the log.
   bool m_stopping = false;
-  bool m_was_ready = false;  // Result of the last readiness probe, for logging changes.
+  bool m_requests_ended = false;  // The requests that ran at the end of the grace period are ended.
+  bool m_was_ready = false;       // Result of the last readiness probe, for logging changes.
   TimePoint m_stop_requested;
 };
 
--- a/src/forward/plain_exchange.cc
+++ b/src/forward/plain_exchange.cc
@@ -268,7 +268,7 @@
       Fail(ResultCode::kUpstreamTimeout, "no answer before the deadline");
     } else {
       Refuse(ResultCode::kDeadlineUnreachable, "no upstream took the request in time",
-             std::nullopt);
+             RetryAfterDeadline());
     }
   }
 
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -623,7 +623,8 @@
   } else if (m_sends > 0) {
     Fail(ResultCode::kUpstreamTimeout, "no event before the deadline");
   } else {
-    Refuse(ResultCode::kDeadlineUnreachable, "no path was free before the deadline", std::nullopt);
+    Refuse(ResultCode::kDeadlineUnreachable, "no path was free before the deadline",
+           RetryAfterDeadline());
   }
   StartQueuedStreams();
 }
