Bound the documents of engines, the store and other writers

Other operators reported bytes without end, and entries of other writers that are deeply nested, hold numbers that are too large or name ports out of range.

Cause: one bound of 8 MB, meant for pages of the store, held for reports of a few hundred bytes, and a document takes up to 64 times the memory of its text. Bytes beyond the bound were dropped while the call went on. Entries of the list were decoded at any length. Numbers were converted to narrower types without a check of their range.

Change: ParseBoundedJson checks bytes, nesting and number of values on the text, before a document is built. Each call states its limits; a longer response ends the call and its connection. Entries above 16 KiB are unreadable, names have 200 bytes without control characters, numbers fit their types, and an entry has all of its fields. PeerFaultLog logs and counts what is rejected; an engine that sends it counts as one that does not report.

This works because nothing is kept or built before its size is known.

Ports out of range were rejected before; the test keeps it so.

--- a/include/azuregw/forward/exchange.h
+++ b/include/azuregw/forward/exchange.h
@@ -22,6 +22,7 @@
 #include "azuregw/forward/gateway_settings.h"
 #include "azuregw/forward/wire_protocol.h"
 #include "azuregw/logging/event_log.h"
+#include "azuregw/logging/peer_fault_log.h"
 #include "azuregw/metrics/metrics.h"
 #include "azuregw/net/http_client.h"
 #include "azuregw/placement/engine_control.h"
@@ -46,6 +47,7 @@
   PromptQuarantine* quarantine = nullptr;
   EventLog* log = nullptr;
   Metrics* metrics = nullptr;
+  PeerFaultLog* peer_faults = nullptr;
   Random* random = nullptr;
   GatewaySettings settings;
   // Factor on this instance's own load while the load of the other instances is unknown; 0 when it
--- a/include/azuregw/forward/gateway.h
+++ b/include/azuregw/forward/gateway.h
@@ -14,6 +14,7 @@
 #include "azuregw/forward/gateway_settings.h"
 #include "azuregw/forward/wire_protocol.h"
 #include "azuregw/kv/async_key_value_store.h"
+#include "azuregw/logging/peer_fault_log.h"
 #include "azuregw/net/http_client.h"
 #include "azuregw/placement/engine_control.h"
 #include "azuregw/sync/platform_codec.h"
@@ -31,8 +32,10 @@
   std::function<Result<GatewaySettings>()> reload;
 };
 
-// Creates the platform components on the event loop and HTTP client of the instance.
-using GatewayPlatformFactory = std::function<GatewayPlatform(EventLoop*, HttpClient*)>;
+// Creates the platform components on the event loop and HTTP client of the instance. They report
+// input that they reject.
+using GatewayPlatformFactory =
+    std::function<GatewayPlatform(EventLoop*, HttpClient*, PeerFaultLog*)>;
 
 // Runs the instance and ends the process after a SIGTERM or SIGINT. Returns only if the instance
 // cannot start; the result is the exit code of the process.
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -57,11 +57,12 @@
   GatewayInstance(const GatewaySettings& settings, const GatewayPlatformFactory& make_platform)
       : m_loop(MakeEventLoop(&m_io)),
         m_client(MakeHttpClient(&m_io)),
-        m_platform(make_platform(m_loop.get(), m_client.get())),
         m_random(MakeSystemRandom()),
         m_metrics(MakeMetrics()),
         m_log(MakeEventLog(m_loop.get(), &SystemClock(),
                            {settings.name, settings.failure_domain, 1})),
+        m_peer_faults(MakePeerFaultLog(m_log.get(), m_metrics.get())),
+        m_platform(make_platform(m_loop.get(), m_client.get(), m_peer_faults.get())),
         m_routes(KeyAgeLimit(settings.key_removal_bound)),
         m_paths(m_random.get()),
         m_budget({settings.retry_budget_ratio, settings.retry_budget_slack,
@@ -96,6 +97,7 @@
     m_context.quarantine = &m_quarantine;
     m_context.log = m_log.get();
     m_context.metrics = m_metrics.get();
+    m_context.peer_faults = m_peer_faults.get();
     m_context.random = m_random.get();
     m_context.settings = settings;
     m_context.assumed_instances = kAssumedInstances;
@@ -374,10 +376,11 @@
   asio::io_context m_io{1};
   std::unique_ptr<EventLoop> m_loop;
   std::unique_ptr<HttpClient> m_client;
-  GatewayPlatform m_platform;
   std::unique_ptr<Random> m_random;
   std::unique_ptr<azuregw::Metrics> m_metrics;
   std::unique_ptr<EventLog> m_log;
+  std::unique_ptr<PeerFaultLog> m_peer_faults;
+  GatewayPlatform m_platform;
   RouteTable m_routes;
   Fleet m_fleet;
   PathSelector m_paths;
--- a/tests/platform/document_codec_test.cc
+++ b/tests/platform/document_codec_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "platform/engine_control.h"
@@ -107,6 +108,64 @@
                   .has_value());
 }
 
+// Guards against odd entries of another writer that end the process or are used as upstreams:
+// deeply nested, with numbers out of range, with ports out of range, with names that are no header
+// values, or with fields missing.
+BOOST_AUTO_TEST_CASE(odd_entries_are_errors) {
+  const std::string sound =
+      R"({"service":"s1","address":"10.0.0.1:80","zone":"a","version":"v1","slots":192,)"
+      R"("state":"ready","warmupLeftMs":0,"sequence":4,"born":5,"kind":"l4",)"
+      R"("layers":{"from":8,"to":16,"version":1}})";
+  const auto codec = MakeDocumentCodec();
+  BOOST_REQUIRE(codec->DecodeUpstream("servers/x", sound).has_value());
+  const std::pair<const char*, std::string> changes[] = {
+      {"\"v1\"", std::string(4000, '[') + std::string(4000, ']')},
+      {"\"v1\"", "{}"},
+      {"\"version\":\"v1\",", ""},
+      {"192", "1e300"},
+      {"192", "99999999999999999999999999"},
+      {"192", "18446744073709551615"},
+      {"192", "-1"},
+      {"192", "1.5"},
+      {"\"slots\":192,", ""},
+      {"\"warmupLeftMs\":0", "\"warmupLeftMs\":1e308"},
+      {"\"warmupLeftMs\":0,", ""},
+      {"\"sequence\":4", "\"sequence\":-1e18"},
+      {"\"sequence\":4,", ""},
+      {"\"born\":5", "\"born\":1e19"},
+      {"\"from\":8", "\"from\":-9e18"},
+      {"\"to\":16", "\"to\":4e9"},
+      {":80", ":80000"},
+      {":80", ":0"},
+      {":80", ":-1"},
+      {":80", ":80\\r\\nX-Tenant: t"},
+      {"\"a\"", "\"" + std::string(5000, 'a') + "\""},
+      {"\"l4\"", "\"l4\\u0000\""},
+  };
+  for (const auto& [from, to] : changes) {
+    std::string odd = sound;
+    odd.replace(odd.find(from), std::string(from).size(), to);
+    BOOST_TEST(!codec->DecodeUpstream("servers/x", odd).has_value(), odd.substr(0, 300));
+  }
+  BOOST_TEST(!codec->DecodeUpstream("servers/x\r\ny", sound).has_value());
+  BOOST_TEST(!codec->DecodeUpstream("servers/" + std::string(70000, 'x'), sound).has_value());
+}
+
+// A configuration with numbers that no type holds must be rejected as a whole, not wrapped around.
+BOOST_AUTO_TEST_CASE(configuration_with_numbers_out_of_range_is_rejected) {
+  for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>>{
+           {"\"timeoutMs\":20000", "\"timeoutMs\":1e300"},
+           {"\"maxAttempts\":2", "\"maxAttempts\":4294967298"},
+           {"\"maxHeaderBytes\":8192", "\"maxHeaderBytes\":-1"},
+           {"\"maxBodyBytes\":100000", "\"maxBodyBytes\":1e40"},
+           {"\"layers\":80", "\"layers\":1e10"},
+           {"\"t1\"", "\"t1\\r\\nX: y\""}}) {
+    std::string text = kConfig;
+    text.replace(text.find(from), from.size(), to);
+    BOOST_TEST(!MakeDocumentCodec()->DecodeConfig(text).has_value(), to);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(engine_reports_are_decoded) {
   const auto report = DecodeEngineReport(nlohmann::json::parse(
       R"({"busy":true,"sequence":2,"born":5,"pace":12.0,"layers":{"from":0,"to":24,"version":1},
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -11,6 +11,7 @@
 
 #include "azuregw/net/endpoint.h"
 #include "tests/fakes/scripted_server.h"
+#include "tests/support/fake_log.h"
 
 namespace azuregw::platform {
 namespace {
@@ -22,7 +23,10 @@
       : server(std::move(script)),
         loop(MakeEventLoop(&io)),
         client(MakeHttpClient(&io)),
-        store(MakeStoreClient(loop.get(), client.get(), *ParseEndpoint(server.Address()))) {}
+        metrics(MakeMetrics()),
+        faults(MakePeerFaultLog(&log, metrics.get())),
+        store(MakeStoreClient({loop.get(), client.get(), faults.get()},
+                              *ParseEndpoint(server.Address()))) {}
 
   // Runs the event loop until `result` is set. Calls end at their timeout.
   template <class T>
@@ -38,6 +42,9 @@
   ScriptedServer server;
   std::unique_ptr<EventLoop> loop;
   std::unique_ptr<HttpClient> client;
+  FakeLog log;
+  std::unique_ptr<Metrics> metrics;
+  std::unique_ptr<PeerFaultLog> faults;
   std::unique_ptr<AsyncKeyValueStore> store;
 };
 
@@ -89,6 +96,45 @@
   BOOST_TEST(listing.value().entries[1].value == "x");
 }
 
+// Guards against long entries of other writers, of which a list of a few pages would fill the
+// memory.
+BOOST_AUTO_TEST_CASE(long_values_of_a_list_are_left_out) {
+  Fixture f([](size_t, const std::string&) {
+    return Reply(
+        200,
+        {{"items",
+          json::array(
+              {{{"key", "servers/foreign"}, {"value", std::string(700000, 'A')}, {"revision", 5}},
+               {{"key", "servers/i-1"}, {"value", "eA=="}, {"revision", 6}}})},
+         {"hasMore", false},
+         {"currentRev", 9}});
+  });
+  std::optional<Result<KvListing>> result;
+  f.store->List("servers/", ReadMode::kNewest, [&](Result<KvListing> r) { result = std::move(r); });
+  const auto& listing = f.Wait(result);
+  BOOST_REQUIRE(listing.has_value());
+  BOOST_REQUIRE(listing.value().entries.size() == 2U);
+  BOOST_TEST(listing.value().entries[0].value.empty());
+  BOOST_TEST(listing.value().entries[1].value == "x");
+}
+
+// Guards against answers of the store that grow without end, or into large documents.
+BOOST_AUTO_TEST_CASE(answer_beyond_its_limits_fails_the_call) {
+  for (const std::string& body : {std::string(6 << 20, 'x'), std::string(100000, '['),
+                                  "[" + std::string(100000, ',') + "]"}) {
+    Fixture f([&](size_t, const std::string&) {
+      ScriptedServer::Step step;
+      step.body = body;
+      return step;
+    });
+    std::optional<Result<KvListing>> result;
+    f.store->List("servers/", ReadMode::kNewest,
+                  [&](Result<KvListing> r) { result = std::move(r); });
+    BOOST_TEST((f.Wait(result).error().code == ResultCode::kKvUnavailable));
+    BOOST_TEST(f.log.Count("peer_input_rejected") == 1);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(watch_reports_changes_deletions_and_lost_history) {
   Fixture f([](size_t index, const std::string&) {
     if (index == 0) {
--- a/tests/support/fake_gateway.h
+++ b/tests/support/fake_gateway.h
@@ -295,6 +295,7 @@
     context.quarantine = &quarantine;
     context.log = &log;
     context.metrics = metrics.get();
+    context.peer_faults = peer_faults.get();
     context.random = random.get();
     context.settings.failure_domain = "a";
     context.assumed_instances = 0;
@@ -342,6 +343,7 @@
   FakeEngineControl engines;
   FakeLog log;
   std::unique_ptr<Metrics> metrics = MakeMetrics();
+  std::unique_ptr<PeerFaultLog> peer_faults = MakePeerFaultLog(&log, metrics.get());
   EngineExitChecker exits{&loop, &fleet, &engines, &log, metrics.get()};
   PromptQuarantine quarantine;
   RecordingResponder responder;
