End an attempt at an event ID that is no header value

Cause: EventScanner kept the ID of any event of up to 256 KiB. When the stream resumes, the ID becomes a header field, for which the library throws above 65,533 bytes; nothing catches it. Ruled out: the length of the event, which is bounded, and the engine's close, which other tests cover.

This works because only IDs that fit a header field become the last ID.

--- a/src/forward/plain_exchange.cc
+++ b/src/forward/plain_exchange.cc
@@ -239,6 +239,10 @@
   }
 
   void OnAttemptFailed(Attempt* attempt, const HttpFailure& failure) {
+    if (failure.protocol_error) {
+      m_context->peer_faults->OnRejected(PeerKind::kUpstream, attempt->m_id, "protocol",
+                                         failure.reason);
+    }
     if (failure.maybe_sent) {
       OnConnectionEnded(attempt, failure.reason);
       return;
--- a/src/forward/stream_exchange.cc
+++ b/src/forward/stream_exchange.cc
@@ -152,7 +152,7 @@
     m_last_bytes = now;
     m_error_body_bytes += bytes.size();
     if (m_error_body_bytes > kMaxErrorResponseBytes) {
-      OnAttemptBroken("the error response is too large", m_path.hops.front().id);
+      RejectBytes("error_response", "the error response is too large");
     } else if (!m_head_sent) {
       m_response.body.append(bytes);
     }
@@ -162,10 +162,16 @@
   m_scanner.Push(bytes);
   const std::string events =
       m_scanner.TakeCompleteEvents(m_resumed ? ParseEventNumber(m_last_sent_id) : std::nullopt);
+  if (m_scanner.Invalid()) {
+    // The complete events before it count.
+    ForwardEvents(events);
+    RejectBytes("event_id", "an event ID is invalid");
+    return;
+  }
   if (m_scanner.PendingBytes() == pending + bytes.size()) {
     // Bytes that complete no event are no progress; the engine may send them without end.
     if (m_scanner.PendingBytes() > kMaxEventBytes) {
-      OnAttemptBroken("an event is too large", m_path.hops.front().id);
+      RejectBytes("event", "an event is too large");
     }
     return;
   }
@@ -180,6 +186,15 @@
   ForwardEvents(events);
 }
 
+void StreamExchange::RejectBytes(std::string_view limit, const std::string& reason) {
+  const std::string first = m_path.hops.front().id;
+  m_context->peer_faults->OnRejected(PeerKind::kUpstream, first, limit, reason);
+  // A caller that left with the events before has ended the attempt.
+  if (!Closed() && m_attempt_active) {
+    OnAttemptBroken(reason, first);
+  }
+}
+
 void StreamExchange::OnDone() {
   if (!m_streaming) {
     OnNonStreamResponse();
@@ -226,6 +241,9 @@
 
 void StreamExchange::OnFailed(const HttpFailure& failure) {
   const std::string first = m_path.hops.front().id;
+  if (failure.protocol_error) {
+    m_context->peer_faults->OnRejected(PeerKind::kUpstream, first, "protocol", failure.reason);
+  }
   if (!failure.maybe_sent) {
     --m_sends;
     SuspectEngine(first, kBrokenSuspectTime, failure.reason);
--- a/src/forward/stream_exchange.h
+++ b/src/forward/stream_exchange.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "azuregw/admission/wait_policy.h"
@@ -95,6 +96,9 @@
   // Ends the response to the caller as complete.
   void CompleteStream();
 
+  // Breaks the attempt off because the engine exceeded `limit`.
+  void RejectBytes(std::string_view limit, const std::string& reason);
+
   // Handles a response that is not an event stream: a refusal or an error.
   void OnNonStreamResponse();
 
--- a/tests/forward/event_scanner_test.cc
+++ b/tests/forward/event_scanner_test.cc
@@ -33,6 +33,24 @@
   BOOST_TEST(!scanner.HasPartialEvent());
 }
 
+// Guards against an ID that is too long for a header field when the stream resumes, or that adds
+// header fields of its own.
+BOOST_AUTO_TEST_CASE(event_with_an_invalid_id_ends_the_stream_before_it) {
+  const std::string good = "id: 1\ndata: a\n\n";
+  for (const std::string& id : {std::string(70000, 'x'), std::string(kMaxEventIdBytes + 1, '7'),
+                                std::string("2\rx: y"), std::string("2\0", 2)}) {
+    EventScanner scanner;
+    scanner.Push(good + "id: " + id + "\ndata: b\n\nid: 3\ndata: c\n\n");
+    BOOST_TEST(scanner.TakeCompleteEvents(std::nullopt) == good);
+    BOOST_TEST(scanner.Invalid());
+    BOOST_TEST(scanner.LastId().value() == "1");
+    BOOST_TEST(scanner.TakeCompleteEvents(std::nullopt).empty());
+    scanner.Clear();
+    scanner.Push("id: 2\ndata: b\n\n");
+    BOOST_TEST(scanner.TakeCompleteEvents(1) == "id: 2\ndata: b\n\n");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(only_decimal_ids_are_event_numbers) {
   BOOST_TEST(ParseEventNumber(std::string("12")).value() == 12U);
   BOOST_TEST(!ParseEventNumber(std::string("12a")).has_value());
--- a/tests/forward/stream_exchange_test.cc
+++ b/tests/forward/stream_exchange_test.cc
@@ -50,6 +50,25 @@
   BOOST_TEST(f.responder.complete);
 }
 
+// Guards against an event ID that is too long for a header field: the resumed request threw, and
+// the process ended with all requests that it served.
+BOOST_AUTO_TEST_CASE(long_event_id_breaks_the_attempt_off_and_the_stream_resumes) {
+  GatewayFixture f;
+  const auto exchange = f.Start("/stream/1");
+  f.Call(0).SendHead(200, true);
+  f.Call(0).SendBody(Event(1) + "id: " + std::string(70000, 'x') + "\n\n");
+  BOOST_REQUIRE(f.client.calls.size() == 2U);
+  BOOST_TEST(f.Call(0).Cancelled());
+  BOOST_TEST(f.Call(1).request["After"] == "1");
+  BOOST_TEST(f.Call(1).request["Upstream"] != f.Call(0).request["Upstream"]);
+  BOOST_TEST(f.log.Count("peer_input_rejected") == 1);
+  f.Call(1).SendHead(200, true);
+  f.Call(1).SendBody(Event(2));
+  f.Call(1).Finish();
+  BOOST_TEST(f.responder.body == Event(1) + Event(2));
+  BOOST_TEST(f.responder.complete);
+}
+
 BOOST_AUTO_TEST_CASE(stream_that_ends_within_an_event_is_not_complete) {
   GatewayFixture f;
   const auto exchange = f.Start("/stream/1");
