Take no status out of range for an interim response

Callers would see: bytes of the body of a response with status 000 as their response (MIXED), or 502.

Cause: each status below 200 counted as an interim response like 100, so the next head was read from where the body of the response begins. The parser accepts any three digits.

Change: a status other than 100, 102 to 199 and 200 to 599 is a protocol error: the connection is closed, the upstream counts as failing, and the outcome is unknown unless the request may be sent again. Responses to other requests are skipped up to 256 KiB instead of without end.

Tests: status_out_of_range_is_no_answer fails on for 000, whose body is delivered as the response; endless_answer_to_another_request_ends_the_call does not end there within 60 s.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -17,6 +17,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -38,6 +39,15 @@
 constexpr size_t kMaxBufferedBytes = kMaxResponseHeaderBytes + kBodyBufferBytes;
 // Interim responses (1xx) that are skipped before the connection is given up.
 constexpr int kMaxInterimResponses = 4;
+// Status codes of final responses. Others are no answer in the protocol: the bytes after such a
+// head could be taken for another response.
+constexpr int kMinFinalStatus = 200;
+constexpr int kMaxFinalStatus = 599;
+constexpr int kMinInterimStatus = 100;
+// An upgrade was not asked for.
+constexpr int kSwitchingProtocols = 101;
+// Bytes of answers to other requests that are skipped before the connection is given up.
+constexpr size_t kMaxForeignBytes = size_t{256} << 10;
 // Answers of other requests that are skipped before the connection is given up.
 constexpr int kMaxForeignAnswers = 3;
 // Kept connections per server. More than that are open only during bursts.
@@ -121,6 +131,7 @@
   bool m_read_due = false;  // ReadBody() was put off while the call was paused.
   bool m_foreign = false;   // The answer being read belongs to another request.
   int m_foreign_answers = 0;
+  size_t m_foreign_bytes = 0;  // Body bytes of such answers.
   int m_interim_responses = 0;
 };
 
@@ -275,7 +286,12 @@
           return;
         }
         const int status = static_cast<int>(self->m_parser->get().result_int());
-        if (status < 200) {
+        if (status < kMinInterimStatus || status > kMaxFinalStatus ||
+            status == kSwitchingProtocols) {
+          self->Fail("the status " + std::to_string(status) + " is invalid", true);
+          return;
+        }
+        if (status < kMinFinalStatus) {
           if (++self->m_interim_responses > kMaxInterimResponses) {
             self->Fail("too many interim responses", true);
             return;
@@ -317,7 +333,13 @@
           error = {};
         }
         const size_t count = self->m_body.size() - self->m_parser->get().body().size;
-        if (count > 0 && !self->m_foreign) {
+        if (self->m_foreign) {
+          self->m_foreign_bytes += count;
+          if (self->m_foreign_bytes > kMaxForeignBytes) {
+            self->Fail("an answer to another request is too large", true);
+            return;
+          }
+        } else if (count > 0) {
           self->m_handler->OnBody(std::string_view(self->m_body.data(), count));
           if (self->m_handler == nullptr) {
             return;
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -226,6 +226,40 @@
   BOOST_TEST(f.client->ConnectionsOpened() == 2U);
 }
 
+// Guards against a status that is no status: 000 counted as an interim response, and bytes of its
+// body as the answer.
+BOOST_AUTO_TEST_CASE(status_out_of_range_is_no_answer) {
+  for (const char* const status : {"000", "099", "101", "600", "999"}) {
+    const std::string body = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 2\r\n\r\nok";
+    Fixture f([&](size_t, const std::string&) {
+      return Raw("HTTP/1.1 " + std::string(status) + " Odd\r\nX-Id: mine\r\nContent-Length: " +
+                 std::to_string(body.size()) + "\r\n\r\n" + body);
+    });
+    Recorder recorder;
+    f.Run(&recorder);
+    BOOST_TEST(recorder.status == 0, status);
+    BOOST_TEST(!recorder.done, status);
+    BOOST_REQUIRE(recorder.failure.has_value());
+    BOOST_TEST(recorder.failure->protocol_error, status);
+    BOOST_TEST(recorder.failure->maybe_sent, status);
+  }
+}
+
+// Guards against a call that reads the answer to another request without end.
+BOOST_AUTO_TEST_CASE(endless_answer_to_another_request_ends_the_call) {
+  Fixture f([](size_t, const std::string&) {
+    ScriptedServer::Step step =
+        Raw("HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 99999999999\r\n\r\n");
+    step.endless = std::string(4096, 'j');
+    return step;
+  });
+  Recorder recorder;
+  f.Run(&recorder);
+  BOOST_REQUIRE(recorder.failure.has_value());
+  BOOST_TEST(recorder.failure->protocol_error);
+  BOOST_TEST(recorder.body.empty());
+}
+
 BOOST_AUTO_TEST_CASE(chunked_bodies_are_passed_on_decoded) {
   Fixture f([](size_t, const std::string&) {
     return Raw(
