Close kept connections that no call will use

Cause: kept connections were closed only when a later call to the same address found them too old, and addresses of upstreams change.

Change: a call closes all connections that were idle for over 10 s, longer than any call reuses. azuregw_upstream_connections_idle counts those that are kept.

Test: http_client/idle_connections_are_closed; it needs the new counter, so it was not run on the code before.

--- a/include/azuregw/net/http_client.h
+++ b/include/azuregw/net/http_client.h
@@ -82,9 +82,16 @@
   virtual void CloseIdle() = 0;
   // Connections opened since the start.
   virtual uint64_t ConnectionsOpened() const = 0;
+  // Kept connections that no call uses.
+  virtual size_t IdleConnections() const = 0;
 };
 
-std::unique_ptr<HttpClient> MakeHttpClient(boost::asio::io_context* loop);
+// Longest idle time of a kept connection; calls reuse none that is older.
+constexpr Milliseconds kMaxKeptIdle{10000};
+
+// Connections that were idle for longer than `max_idle` are closed when a later call starts.
+std::unique_ptr<HttpClient> MakeHttpClient(boost::asio::io_context* loop,
+                                           Milliseconds max_idle = kMaxKeptIdle);
 
 }  // namespace azuregw
 
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -252,6 +252,8 @@
     m_metrics->Set("azuregw_callers_held_bytes", "", static_cast<double>(m_listener->HeldBytes()));
     m_metrics->Set("azuregw_queued_streams", "", m_queue.Size());
     m_metrics->Set("azuregw_quarantined_parts", "", static_cast<double>(m_quarantined.size()));
+    m_metrics->Set("azuregw_upstream_connections_idle", "",
+                   static_cast<double>(m_client->IdleConnections()));
     m_metrics->Set("azuregw_upstream_connections_opened", "",
                    static_cast<double>(m_client->ConnectionsOpened()));
     return {200, "text/plain; version=0.0.4", m_metrics->PrometheusText()};
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -14,6 +14,7 @@
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <deque>
+#include <iterator>
 #include <limits>
 #include <map>
 #include <optional>
@@ -137,10 +138,11 @@
 
 class BeastClient final : public HttpClient {
  public:
-  explicit BeastClient(asio::io_context* loop) : m_loop(loop) {}
+  BeastClient(asio::io_context* loop, Milliseconds max_idle) : m_loop(loop), m_max_idle(max_idle) {}
 
   std::shared_ptr<ClientCall> Start(const HttpCallOptions& options, HttpRequest request,
                                     HttpCallHandler* handler) override {
+    CloseExpired();
     auto call = std::make_shared<BeastCall>(this, m_loop, options, std::move(request), handler);
     call->Begin(TakeIdle(options));
     return call;
@@ -148,6 +150,13 @@
 
   void CloseIdle() override { m_idle.clear(); }
   uint64_t ConnectionsOpened() const override { return m_opened; }
+  size_t IdleConnections() const override {
+    size_t count = 0;
+    for (const auto& [endpoint, idle] : m_idle) {
+      count += idle.size();
+    }
+    return count;
+  }
   void CountConnection() { ++m_opened; }
 
   void Keep(const tcp::endpoint& endpoint, std::unique_ptr<Connection> connection) {
@@ -160,6 +169,23 @@
   }
 
  private:
+  // Closes connections that were idle for too long, also those to addresses that are no longer
+  // used. The oldest ones of an address come first.
+  void CloseExpired() {
+    const TimePoint now = SystemClock().Now();
+    if (now - m_last_sweep < m_max_idle / 2) {
+      return;
+    }
+    m_last_sweep = now;
+    for (auto entry = m_idle.begin(); entry != m_idle.end();) {
+      auto& idle = entry->second;
+      while (!idle.empty() && now - idle.front()->idle_since > m_max_idle) {
+        idle.pop_front();
+      }
+      entry = idle.empty() ? m_idle.erase(entry) : std::next(entry);
+    }
+  }
+
   std::unique_ptr<Connection> TakeIdle(const HttpCallOptions& options) {
     const auto found = m_idle.find(options.endpoint);
     if (found == m_idle.end()) {
@@ -195,6 +221,8 @@
   }
 
   asio::io_context* const m_loop;
+  const Milliseconds m_max_idle;
+  TimePoint m_last_sweep;
   std::map<tcp::endpoint, std::deque<std::unique_ptr<Connection>>> m_idle;
   uint64_t m_opened = 0;
 };
@@ -383,8 +411,8 @@
 
 }  // namespace
 
-std::unique_ptr<HttpClient> MakeHttpClient(asio::io_context* loop) {
-  return std::make_unique<BeastClient>(loop);
+std::unique_ptr<HttpClient> MakeHttpClient(asio::io_context* loop, Milliseconds max_idle) {
+  return std::make_unique<BeastClient>(loop, max_idle);
 }
 
 }  // namespace azuregw
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -260,6 +260,24 @@
   BOOST_TEST(recorder.body.empty());
 }
 
+// Guards against connections that stay open for good to addresses that are never used again.
+BOOST_AUTO_TEST_CASE(idle_connections_are_closed) {
+  Fixture used([](size_t, const std::string&) { return ScriptedServer::Step{}; });
+  ScriptedServer other([](size_t, const std::string&) { return ScriptedServer::Step{}; });
+  used.client = MakeHttpClient(&used.io, Milliseconds(1));
+  Recorder first;
+  used.Run(&first);
+  BOOST_TEST(used.client->IdleConnections() == 1U);
+  used.options.endpoint = EndpointOf(other.Address());
+  const TimePoint begin = SystemClock().Now();
+  while (SystemClock().Now() - begin <= Milliseconds(2)) {
+  }
+  used.options.max_idle = Milliseconds(0);
+  Recorder second;
+  used.Run(&second);
+  BOOST_TEST(used.client->IdleConnections() == 1U);  // That of the second call.
+}
+
 BOOST_AUTO_TEST_CASE(chunked_bodies_are_passed_on_decoded) {
   Fixture f([](size_t, const std::string&) {
     return Raw(
--- a/tests/support/fake_gateway.h
+++ b/tests/support/fake_gateway.h
@@ -125,6 +125,7 @@
   }
   void CloseIdle() override {}
   uint64_t ConnectionsOpened() const override { return calls.size(); }
+  size_t IdleConnections() const override { return 0; }
 
   std::vector<std::shared_ptr<FakeClientCall>> calls;
 };
