Send no last chunk in response to HEAD

Cause: SendChunk and EndStream did not know of HEAD; SendResponse did.

Change: both send nothing for HEAD.

--- a/src/forward/caller_listener.cc
+++ b/src/forward/caller_listener.cc
@@ -715,6 +715,9 @@
 }
 
 void CallerConnection::SendChunk(std::string_view bytes) {
+  if (m_head_request) {
+    return;  // The response ends with its head.
+  }
   Write(m_chunked ? beast::buffers_to_string(
                         http::make_chunk(asio::const_buffer(bytes.data(), bytes.size())))
                   : std::string(bytes));
@@ -722,7 +725,8 @@
 
 void CallerConnection::EndStream() {
   m_response_queued = true;
-  Write(m_chunked ? beast::buffers_to_string(http::make_chunk_last()) : std::string());
+  const bool last_chunk = m_chunked && !m_head_request;
+  Write(last_chunk ? beast::buffers_to_string(http::make_chunk_last()) : std::string());
 }
 
 void CallerConnection::Write(std::string bytes) {
--- a/tests/forward/caller_listener_test.cc
+++ b/tests/forward/caller_listener_test.cc
@@ -158,6 +158,24 @@
   BOOST_TEST(f.Until([&] { return caller.Received().find("0\r\n\r\n") != std::string::npos; }));
 }
 
+// Guards against a body in the response to HEAD, which the caller takes for the begin of the next
+// response.
+BOOST_AUTO_TEST_CASE(response_to_head_on_a_streaming_route_has_no_body) {
+  Fixture f;
+  Caller caller(f.Port());
+  caller.Send("HEAD /stream/1 HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: k\r\n\r\n");
+  BOOST_REQUIRE(f.Until([&] { return f.client.calls.size() == 1; }));
+  f.Call(0).SendHead(200, true);
+  f.Call(0).Finish();
+  BOOST_REQUIRE(f.Until([&] { return caller.Received().find("\r\n\r\n") != std::string::npos; }));
+  caller.Send(f.Request("/order/2"));
+  BOOST_REQUIRE(f.Until([&] { return f.client.calls.size() == 2; }));
+  f.Call(1).Respond(200, "next");
+  BOOST_REQUIRE(f.Until([&] { return caller.Received().find("next") != std::string::npos; }));
+  const std::string received = caller.Received();
+  BOOST_TEST(received.find("\r\n\r\n") + 4 == received.find("HTTP/1.1 ", 1));
+}
+
 // A truncated response must not look complete to the caller.
 BOOST_AUTO_TEST_CASE(broken_stream_has_no_last_chunk) {
   Fixture f;
