Let entries that contradict the profile serve nothing

One entry with layers that the model does not have was put into the path of every stream.

Cause: an entry was used as far as it could be read, and the layout planner scored all combinations of widths of all kinds that it met, 16 to the power of six, on the event loop. The lease passed on to the next instance. Likewise an entry with the address of a sound engine and a later start displaced it, failure domains that entries name were searched in pairs, and a list beyond 1 MiB closed the followers' connections.

Change: an entry that contradicts the profile of its service in kind, layers or memory serves nothing, is not planned and supersedes nothing; it is checked again with each configuration. The planner scores 20,000 combinations for each cell size and varies one kind at a time beyond that. A path search considers 16 failure domains. The list is limited to 900 KiB, sound entries first. Counters tell of each.

This works because sound engines are told apart before any decision, and no decision takes longer than the configuration allows.

--- a/include/azuregw/fleet/fleet.h
+++ b/include/azuregw/fleet/fleet.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <gsl/span>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -24,6 +25,7 @@
 #include "azuregw/fleet/rate_share.h"
 #include "azuregw/fleet/upstream_statements.h"
 #include "azuregw/preset/preset.h"
+#include "azuregw/routes/routing_config.h"
 
 namespace azuregw {
 
@@ -49,6 +51,11 @@
   }
 };
 
+// Returns whether an entry of the list cannot be an engine of `profile`: its accelerator is of no
+// known kind, or it holds layers that the model does not have or its memory cannot hold. Entries of
+// other writers may state anything.
+bool ContradictsProfile(const UpstreamRecord& record, const EngineProfile& profile);
+
 // Reason why an upstream temporarily receives no new requests.
 enum class SuspectKind : uint8_t {
   kFailing,  // Requests to it fail.
@@ -86,11 +93,15 @@
   StartBucket start_bucket;        // Requests of this instance under the stated rate limit.
   bool pace_queried_here = false;  // `slowdown` was queried by this instance, not by another one.
   UpstreamStatements statements;   // Of the process that `record` describes.
+  // The record contradicts the configuration; see ContradictsProfile().
+  bool contradictory = false;
 
   // Returns whether the upstream exits soon, as the list or the upstream itself states.
   bool Leaving(TimePoint now) const { return record.draining || statements.Leaving(now); }
   // Returns whether the upstream wants new requests from this instance.
-  bool Accepts(TimePoint now) const { return !Leaving(now) && !statements.ClosedHere(now); }
+  bool Accepts(TimePoint now) const {
+    return !contradictory && !Leaving(now) && !statements.ClosedHere(now);
+  }
   // Returns whether requests should be sent elsewhere if possible, since the upstream fails them,
   // or turns those of other instances away.
   bool Doubtful(TimePoint now) const {
@@ -132,6 +143,14 @@
   // Lifetime of an engine's self-reported pace, which is a few hundred ms old on arrival.
   static constexpr Milliseconds kPaceTtl{1500};
 
+  // Sets the configuration against which records are checked; null for none.
+  void SetConfig(std::shared_ptr<const RoutingConfig> config);
+  // Returns whether an upstream with this record can serve with the present configuration.
+  bool Serves(const UpstreamRecord& record) const;
+  // Returns the number of upstreams whose records contradict the configuration. They are listed and
+  // relayed, since a later configuration may fit them, but serve nothing.
+  int Contradictory() const;
+
   // Replaces the list and returns the changes. `after_outage`: the previous list predates a store
   // outage; entries missing from `records` are then retained for kRelistGrace.
   std::vector<FleetChange> Update(std::vector<UpstreamRecord> records, bool after_outage,
@@ -263,6 +282,10 @@
   // Returns the requests per second that this instance may send to the upstream; nullopt: any.
   std::optional<double> StartRate(const Upstream& upstream, TimePoint now) const;
 
+  // Returns whether the record contradicts the configuration.
+  bool Contradicts(const UpstreamRecord& record) const;
+
+  std::shared_ptr<const RoutingConfig> m_config;
   std::map<std::string, Upstream> m_upstreams;
   // Retention deadline of each entry that disappeared in an outage, by ID.
   std::map<std::string, TimePoint> m_retained_until;
--- a/include/azuregw/sync/upstream_lister.h
+++ b/include/azuregw/sync/upstream_lister.h
@@ -44,6 +44,9 @@
   // If the list last matched the store longer ago than this, upstream entries may have expired
   // there.
   static constexpr Milliseconds kOutageThreshold{1800};
+  // Size of the list up to which it fits a message of 1 MiB to a follower; 3,600 usual entries take
+  // 0.6 MB.
+  static constexpr size_t kMaxListBytes = size_t{900} << 10;
 
   // All pointers must outlive the lister.
   UpstreamLister(EventLoop* loop, AsyncKeyValueStore* store, const PlatformCodec* codec,
@@ -67,12 +70,18 @@
   std::optional<TimePoint> Confirmed() const { return m_confirmed; }
   // Returns the time since Confirmed(), or nullopt before the first list.
   std::optional<Milliseconds> Age() const;
+  // Returns the number of entries of the last list that could not be decoded.
+  size_t UnreadableEntries() const { return m_unreadable_entries; }
+  // Returns the number of entries of the last list beyond kMaxListBytes.
+  size_t LeftOutEntries() const { return m_left_out_entries; }
 
  private:
   // Reads the list, or waits while the relayed list is fresh.
   void RunNextStep();
   void Read();
   void Apply(const KvListing& listing, TimePoint sent);
+  // Leaves out the records beyond kMaxListBytes.
+  void LimitSize(std::vector<UpstreamRecord>* records);
   // Applies the records to the fleet and logs the changes. `after_outage` tells whether entries may
   // have expired during a store outage.
   void Adopt(std::vector<UpstreamRecord> records, bool after_outage, std::string_view source);
@@ -92,6 +101,8 @@
   std::optional<TimePoint> m_relay_confirmed;  // When the relayed list last matched the store.
   bool m_relay_pending = true;         // True if the relayed list may differ from the applied one.
   std::set<std::string> m_unreadable;  // Keys of undecodable entries already logged.
+  size_t m_unreadable_entries = 0;     // Undecodable entries of the last list.
+  size_t m_left_out_entries = 0;       // Entries beyond kMaxListBytes in the last list.
   std::unique_ptr<Timer> m_timer;
 };
 
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -3,9 +3,12 @@
 #include "azuregw/fleet/fleet.h"
 
 #include <algorithm>
+#include <memory>
 #include <set>
 #include <utility>
 
+#include "azuregw/fleet/engine_model.h"
+
 namespace azuregw {
 namespace {
 
@@ -60,7 +63,10 @@
 
 std::map<std::string, int64_t> Fleet::LatestStarts(gsl::span<const UpstreamRecord> records) const {
   std::map<std::string, int64_t> latest;
-  const auto add = [&latest](const UpstreamRecord& record) {
+  const auto add = [&](const UpstreamRecord& record) {
+    if (Contradicts(record)) {
+      return;  // Proves nothing about the process at its address.
+    }
     int64_t& started_ms = latest[record.address];
     started_ms = std::max(started_ms, record.started_ms);
   };
@@ -81,7 +87,9 @@
   after_outage |= now < m_relist_until;
   const std::map<std::string, int64_t> latest_starts = LatestStarts(records);
   const auto superseded = [&latest_starts](const UpstreamRecord& record) {
-    return record.started_ms > 0 && record.started_ms < latest_starts.at(record.address);
+    const auto latest = latest_starts.find(record.address);
+    return latest != latest_starts.end() && record.started_ms > 0 &&
+           record.started_ms < latest->second;
   };
   for (UpstreamRecord& record : records) {
     if (superseded(record) || (m_reconciling && !Reconcile(&record))) {
@@ -119,6 +127,7 @@
     }
     m_retained_until.erase(record.id);
     upstream.record = std::move(record);
+    upstream.contradictory = Contradicts(upstream.record);
     const std::string id = upstream.record.id;
     next.emplace(id, std::move(upstream));
   }
@@ -144,6 +153,49 @@
   return changes;
 }
 
+bool ContradictsProfile(const UpstreamRecord& record, const EngineProfile& profile) {
+  if (!profile.kinds.empty() && profile.kinds.count(record.accelerator) == 0) {
+    return true;
+  }
+  if (!record.layers) {
+    return false;
+  }
+  const LayerRange& layers = *record.layers;
+  const EngineModel model(profile, record.accelerator);
+  return layers.first < 0 || layers.last > profile.layers ||
+         (!profile.kinds.empty() && layers.last - layers.first > model.MaxLayers());
+}
+
+bool Fleet::Contradicts(const UpstreamRecord& record) const {
+  if (m_config == nullptr) {
+    return false;
+  }
+  const auto service = m_config->services.find(record.service);
+  return service != m_config->services.end() && service->second.engine &&
+         ContradictsProfile(record, *service->second.engine);
+}
+
+bool Fleet::Serves(const UpstreamRecord& record) const {
+  return m_config == nullptr ||
+         (m_config->services.count(record.service) > 0 && !Contradicts(record));
+}
+
+void Fleet::SetConfig(std::shared_ptr<const RoutingConfig> config) {
+  if (config == m_config) {
+    return;
+  }
+  m_config = std::move(config);
+  for (auto& [id, upstream] : m_upstreams) {
+    upstream.contradictory = Contradicts(upstream.record);
+  }
+}
+
+int Fleet::Contradictory() const {
+  return static_cast<int>(
+      std::count_if(m_upstreams.begin(), m_upstreams.end(),
+                    [](const auto& entry) { return entry.second.contradictory; }));
+}
+
 bool Fleet::Suspect(const std::string& id, Milliseconds duration, TimePoint now) {
   Upstream* const upstream = Find(id);
   if (upstream == nullptr) {
@@ -328,7 +380,8 @@
   for (const auto& [id, upstream] : m_upstreams) {
     const UpstreamRecord& record = upstream.record;
     const bool empty_engine = !record.accelerator.empty() && !record.layers;
-    if (record.service != service || empty_engine || upstream.Leaving(now)) {
+    if (record.service != service || empty_engine || upstream.contradictory ||
+        upstream.Leaving(now)) {
       continue;
     }
     const Milliseconds delay = upstream.statements.TimeToOpen(now);
@@ -358,8 +411,9 @@
 Milliseconds Fleet::RateDelay(std::string_view service, TimePoint now) const {
   Milliseconds least = Milliseconds::max();
   for (const auto& [id, upstream] : m_upstreams) {
-    const std::optional<double> rate =
-        upstream.record.service == service ? StartRate(upstream, now) : std::nullopt;
+    const std::optional<double> rate = upstream.record.service == service && !upstream.contradictory
+                                           ? StartRate(upstream, now)
+                                           : std::nullopt;
     if (rate) {
       least = std::min(least, upstream.start_bucket.Delay(*rate, now));
     }
@@ -459,7 +513,7 @@
 
 const std::string* Fleet::FindByAddress(std::string_view address) const {
   for (const auto& [id, upstream] : m_upstreams) {
-    if (upstream.record.address == address) {
+    if (upstream.record.address == address && !upstream.contradictory) {
       return &id;
     }
   }
--- a/src/fleet/path_selector.cc
+++ b/src/fleet/path_selector.cc
@@ -28,6 +28,8 @@
 // Time of a token of a loaded path, in ms. All slots of an engine become free once in the time of a
 // response.
 constexpr double kSlotTokenMs = 20;
+// Maximum number of failure domains that one search considers; the largest deployments have five.
+constexpr size_t kMaxDomains = 16;
 // Maximum number of searches that distribute the unseen streams.
 constexpr int kMaxAssumedBatches = 6;
 // Maximum number of repeated searches that exclude an overloaded engine.
@@ -106,6 +108,42 @@
   return 1 / (1 - std::min(kMaxModeledPromptUtilization, utilization));
 }
 
+// Removes the candidates of all failure domains but the kMaxDomains with the most candidates and
+// `entry`, and renumbers the domains. The entries of upstreams state their domains, and the search
+// takes time for each pair of them.
+void LimitDomains(const std::string& entry, std::map<std::string, int>* domains,
+                  std::vector<Candidate>* candidates) {
+  if (domains->size() <= kMaxDomains) {
+    return;
+  }
+  std::vector<size_t> counts(domains->size());
+  for (const Candidate& candidate : *candidates) {
+    ++counts[static_cast<size_t>(candidate.domain)];
+  }
+  std::vector<std::pair<std::string, int>> order(domains->begin(), domains->end());
+  std::stable_sort(order.begin(), order.end(), [&](const auto& a, const auto& b) {
+    const auto rank = [&](const auto& domain) {
+      return std::make_pair(domain.first == entry, counts[static_cast<size_t>(domain.second)]);
+    };
+    return rank(a) > rank(b);
+  });
+  domains->clear();
+  std::vector<int> renumbered(counts.size(), -1);
+  for (size_t i = 0; i < kMaxDomains; ++i) {
+    renumbered[static_cast<size_t>(order[i].second)] = static_cast<int>(i);
+    domains->emplace(order[i].first, static_cast<int>(i));
+  }
+  std::vector<Candidate> kept;
+  for (const Candidate& candidate : *candidates) {
+    const int domain = renumbered[static_cast<size_t>(candidate.domain)];
+    if (domain >= 0) {
+      kept.push_back(candidate);
+      kept.back().domain = domain;
+    }
+  }
+  candidates->swap(kept);
+}
+
 // Cheapest last hop to a boundary in a failure domain. The indices are -1 at the start.
 struct Step {
   double cost = std::numeric_limits<double>::infinity();
@@ -266,6 +304,7 @@
     boundaries.push_back(record.layers->first);
     boundaries.push_back(record.layers->last);
   }
+  LimitDomains(query.failure_domain, &domains, &candidates);
   if (query.first_hop) {
     boundaries.push_back(query.first_hop->layers.last);
     const Upstream* const first = fleet.Find(query.first_hop->id);
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -147,7 +147,10 @@
       return ReportStartFailure(exchange.error());
     }
     m_exchange = std::move(exchange.value());
-    m_config_watcher.SetListener([this] { m_exchange->OnStateChanged(); });
+    m_config_watcher.SetListener([this] {
+      m_fleet.SetConfig(m_routes.Config());
+      m_exchange->OnStateChanged();
+    });
     m_lister.SetListener([this] {
       m_exchange->OnStateChanged();
       m_queue.StartEligible(m_loop->Now());
@@ -243,6 +246,11 @@
     m_metrics->Set("azuregw_store_restores", "",
                    static_cast<double>(m_platform.store->Era()->Restores()));
     m_metrics->Set("azuregw_upstreams", "", static_cast<double>(m_fleet.All().size()));
+    m_metrics->Set("azuregw_contradictory_upstreams", "", m_fleet.Contradictory());
+    m_metrics->Set("azuregw_unreadable_upstream_entries", "",
+                   static_cast<double>(m_lister.UnreadableEntries()));
+    m_metrics->Set("azuregw_left_out_upstream_entries", "",
+                   static_cast<double>(m_lister.LeftOutEntries()));
     const auto limited = std::count_if(m_fleet.All().begin(), m_fleet.All().end(),
                                        [now = m_loop->Now()](const auto& entry) {
                                          return entry.second.statements.RateLimit(now).has_value();
--- a/src/placement/layout_controller.cc
+++ b/src/placement/layout_controller.cc
@@ -64,7 +64,7 @@
   std::vector<LayoutEngine> engines;
   for (const auto& [id, upstream] : m_fleet->All()) {
     const UpstreamRecord& record = upstream.record;
-    if (record.service != service || upstream.Leaving(now)) {
+    if (record.service != service || upstream.contradictory || upstream.Leaving(now)) {
       continue;
     }
     std::optional<LayerRange> layers = record.layers;
--- a/src/placement/layout_shape.cc
+++ b/src/placement/layout_shape.cc
@@ -23,6 +23,11 @@
 // Weight of the logarithm of the hops of a path. Each hop adds latency and one more engine whose
 // loss interrupts the stream.
 constexpr double kHopWeight = 1.0;
+// Maximum number of combinations of widths that are all scored. Configurations choose the number of
+// kinds, and the combinations grow with its power.
+constexpr size_t kMaxCombinations = 20000;
+// Rounds of the search that varies one kind at a time.
+constexpr int kMaxRounds = 4;
 // Engines of one kind in one failure domain.
 struct EngineGroup {
   std::string domain;
@@ -144,7 +149,8 @@
   return dividing.empty() ? all : dividing;
 }
 
-// Enumerates the widths of the kinds from `index` on and keeps the best shape.
+// Scores the combinations of widths of all kinds and keeps the best shape. If there are more than
+// kMaxCombinations, varies the width of one kind at a time.
 class ShapeSearch {
  public:
   ShapeSearch(const EngineProfile& profile, const std::vector<EngineGroup>& groups,
@@ -159,26 +165,78 @@
 
   void Try(int cell_layers) {
     m_shape = LayoutShape{cell_layers, {}};
-    ChooseWidth(0);
+    size_t combinations = 1;
+    for (const std::string& kind : m_kinds) {
+      const auto [least, most] = Widths(kind);
+      m_shape.cells_by_kind[kind] = most;
+      combinations = std::min(kMaxCombinations + 1,
+                              combinations * static_cast<size_t>(std::max(1, most - least + 1)));
+    }
+    if (combinations <= kMaxCombinations) {
+      m_shape = LayoutShape{cell_layers, {}};
+      ChooseWidth(0);
+    } else {
+      VaryKinds();
+    }
   }
   const LayoutShape& Best() const { return m_best; }
 
  private:
-  void ChooseWidth(size_t index) {
-    if (index == m_kinds.size()) {
-      const double score = ScoreGroups(m_profile, m_groups, m_shape);
-      if (score > m_best_score + 1e-9) {
-        m_best = m_shape;
-        m_best_score = score;
-      }
-      return;
-    }
-    const std::string& kind = m_kinds[index];
+  // Returns the range of widths of a kind, in cells.
+  std::pair<int, int> Widths(const std::string& kind) const {
     auto [least, most] = WidthRange(m_profile, kind, m_shape.cell_layers);
     const auto held = m_held.layers.find(kind);
     if (held != m_held.layers.end()) {
       least = most = std::clamp(held->second / m_shape.cell_layers, least, most);
     }
+    return {least, most};
+  }
+
+  // Scores `m_shape`; returns whether it is the best one so far.
+  bool Score() {
+    const double score = ScoreGroups(m_profile, m_groups, m_shape);
+    if (score <= m_best_score + 1e-9) {
+      return false;
+    }
+    m_best = m_shape;
+    m_best_score = score;
+    return true;
+  }
+
+  // Improves the width of one kind after the other, from the largest widths on.
+  void VaryKinds() {
+    LayoutShape chosen = m_shape;
+    double chosen_score = ScoreGroups(m_profile, m_groups, m_shape);
+    Score();
+    for (int round = 0; round < kMaxRounds; ++round) {
+      const double before = chosen_score;
+      for (const std::string& kind : m_kinds) {
+        const auto [least, most] = Widths(kind);
+        for (int cells = least; cells <= most; ++cells) {
+          m_shape = chosen;
+          m_shape.cells_by_kind[kind] = cells;
+          const double score = ScoreGroups(m_profile, m_groups, m_shape);
+          if (score > chosen_score + 1e-9) {
+            chosen = m_shape;
+            chosen_score = score;
+            Score();
+          }
+        }
+      }
+      if (chosen_score <= before) {
+        return;
+      }
+    }
+  }
+
+  // Enumerates the widths of the kinds from `index` on.
+  void ChooseWidth(size_t index) {
+    if (index == m_kinds.size()) {
+      Score();
+      return;
+    }
+    const std::string& kind = m_kinds[index];
+    const auto [least, most] = Widths(kind);
     for (int cells = least; cells <= most; ++cells) {
       m_shape.cells_by_kind[kind] = cells;
       ChooseWidth(index + 1);
--- a/src/sync/upstream_lister.cc
+++ b/src/sync/upstream_lister.cc
@@ -28,6 +28,12 @@
   return "unknown";
 }
 
+// Size of a record in a message beside its text.
+constexpr size_t kRecordOverheadBytes = 110;
+// Bounds of what is remembered of unreadable entries, so that each is logged once.
+constexpr size_t kMaxLoggedKeys = 256;
+constexpr size_t kMaxLoggedKeyBytes = 200;
+
 // Part of the leaving bound that is left for an own call to the store. Deployments with a large
 // bound have many instances, which all call the store when they lose the leader.
 constexpr double kRelayMarginFraction = 0.35;
@@ -98,16 +104,26 @@
 
 void UpstreamLister::Apply(const KvListing& listing, TimePoint sent) {
   std::vector<UpstreamRecord> records;
+  std::set<std::string> unreadable;  // Of this list, so that keys that are gone are forgotten.
+  m_unreadable_entries = 0;
   for (const KvEntry& entry : listing.entries) {
     Result<UpstreamRecord> record = m_codec->DecodeUpstream(entry.key, entry.value);
     if (record) {
-      m_unreadable.erase(entry.key);
       records.push_back(std::move(record.value()));
-    } else if (m_unreadable.insert(entry.key).second) {
-      m_log->Write("upstream_unreadable", {{"key", entry.key}, {"reason", record.error().message}},
+      continue;
+    }
+    ++m_unreadable_entries;
+    std::string key = entry.key.substr(0, kMaxLoggedKeyBytes);
+    if (m_unreadable.count(key) == 0 && unreadable.count(key) == 0) {
+      m_log->Write("upstream_unreadable", {{"key", key}, {"reason", record.error().message}},
                    false);
     }
+    if (unreadable.size() < kMaxLoggedKeys) {
+      unreadable.insert(std::move(key));
+    }
   }
+  m_unreadable = std::move(unreadable);
+  LimitSize(&records);
   const bool after_outage = m_confirmed && m_loop->Now() - *m_confirmed > kOutageThreshold;
   if (m_store_failing) {
     m_store_failing = false;
@@ -121,6 +137,29 @@
   Adopt(std::move(records), after_outage, "store");
 }
 
+void UpstreamLister::LimitSize(std::vector<UpstreamRecord>* records) {
+  // Entries that serve nothing with the present configuration are the first to be left out.
+  std::stable_partition(records->begin(), records->end(),
+                        [this](const UpstreamRecord& record) { return m_fleet->Serves(record); });
+  size_t bytes = 0;
+  size_t kept = 0;
+  while (kept < records->size() && bytes <= kMaxListBytes) {
+    const UpstreamRecord& record = (*records)[kept];
+    bytes += kRecordOverheadBytes + record.id.size() + record.service.size() +
+             record.address.size() + record.failure_domain.size() + record.accelerator.size();
+    ++kept;
+  }
+  const size_t left_out = bytes > kMaxListBytes ? records->size() - kept + 1 : 0;
+  if (left_out > 0) {
+    records->resize(records->size() - left_out);
+  }
+  if (left_out != m_left_out_entries) {
+    m_log->Write("upstreams_left_out", {{"entries", left_out}, {"limit_bytes", kMaxListBytes}},
+                 true);
+  }
+  m_left_out_entries = left_out;
+}
+
 void UpstreamLister::Adopt(std::vector<UpstreamRecord> records, bool after_outage,
                            std::string_view source) {
   const std::vector<FleetChange> changes =
--- a/tests/fleet/fleet_test.cc
+++ b/tests/fleet/fleet_test.cc
@@ -25,6 +25,61 @@
 
 BOOST_AUTO_TEST_SUITE(fleet)
 
+std::shared_ptr<const RoutingConfig> ModelConfig() {
+  RoutingConfig config;
+  config.version = 1;
+  RoutedService model;
+  model.name = "model";
+  model.engine = MixedProfile();
+  config.services["model"] = std::move(model);
+  return std::make_shared<const RoutingConfig>(std::move(config));
+}
+
+// Guards against entries of other writers that are used although they contradict the profile: a
+// 17th layer of a model of 16 was put into the path of every stream, and sound engines refused it.
+BOOST_AUTO_TEST_CASE(entries_that_contradict_the_profile_serve_nothing) {
+  const std::vector<UpstreamRecord> records = {
+      EngineRecordOf("sound", "a", "a100", LayerRange{0, 30}),
+      EngineRecordOf("empty", "a", "l4", std::nullopt),
+      EngineRecordOf("kind", "a", "other", LayerRange{0, 30}),
+      EngineRecordOf("no-kind", "a", "", LayerRange{0, 30}),
+      EngineRecordOf("beyond", "a", "a100", LayerRange{60, 81}),
+      EngineRecordOf("memory", "a", "l4", LayerRange{0, 80}),
+      PlainRecord("plain", "a")};
+  for (const bool config_first : {true, false}) {
+    Fleet fleet;
+    if (config_first) {
+      fleet.SetConfig(ModelConfig());
+    }
+    fleet.Update(records, false, kNow);
+    fleet.SetConfig(ModelConfig());
+    BOOST_TEST(fleet.Contradictory() == 4);
+    for (const auto& [id, upstream] : fleet.All()) {
+      const bool sound = id == "sound" || id == "empty" || id == "plain";
+      BOOST_TEST(upstream.Accepts(kNow) == sound, id);
+      BOOST_TEST(upstream.Responds(kNow) == sound, id);
+    }
+  }
+}
+
+// Guards against foreign entries that take a sound engine away, or let callers wait for layers that
+// nobody holds.
+BOOST_AUTO_TEST_CASE(contradictory_entries_take_nothing_from_sound_engines) {
+  Fleet fleet;
+  fleet.SetConfig(ModelConfig());
+  std::vector<UpstreamRecord> records = {
+      EngineRecordOf("sound", "a", "a100", LayerRange{0, 30}),
+      EngineRecordOf("foreign", "a", "a100", LayerRange{0, 900})};
+  records[1].address = records[0].address;
+  records[1].started_ms = records[0].started_ms + 1000;
+  fleet.Update(records, false, kNow);
+  BOOST_REQUIRE(fleet.Find("sound") != nullptr);
+  BOOST_TEST(fleet.Find("sound")->Accepts(kNow));
+  BOOST_TEST(*fleet.FindByAddress(records[0].address) == "sound");
+  fleet.OnClosed("foreign", Milliseconds(2000), kNow);
+  BOOST_TEST(fleet.OpenDelay("model", kNow).count() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(removed_entry_is_dropped_at_once_without_outage) {
   Fleet fleet;
   fleet.Update({PlainRecord("s1", "a"), PlainRecord("s2", "a")}, false, kNow);
--- a/tests/fleet/path_selector_test.cc
+++ b/tests/fleet/path_selector_test.cc
@@ -129,6 +129,32 @@
 
 // Load pattern: a third of the engines fails. Guards against rejections while the remaining engines
 // hold all layers.
+// Guards against entries of other writers that each name a failure domain of their own: a search
+// takes time for each pair of domains. Sound engines, which are many in few domains, stay in use.
+BOOST_AUTO_TEST_CASE(many_failure_domains_do_not_displace_the_large_ones) {
+  Fixture f;
+  std::vector<UpstreamRecord> records;
+  for (const auto& [id, upstream] : f.fleet.All()) {
+    records.push_back(upstream.record);
+  }
+  for (int i = 0; i < 1000; ++i) {
+    const std::string name = "0-foreign-" + std::to_string(i);
+    records.push_back(EngineRecordOf(name, name, "a100", LayerRange{0, 30}));
+  }
+  f.fleet.Update(std::move(records), false, kNow);
+  PathError error = PathError::kNoCapacity;
+  std::set<std::string> domains;
+  for (int i = 0; i < 50; ++i) {
+    const auto path = f.selector.Choose(f.fleet, f.query, &error);
+    BOOST_REQUIRE(path.has_value());
+    for (const PathHop& hop : path->hops) {
+      domains.insert(f.fleet.Find(hop.id)->record.failure_domain);
+    }
+  }
+  BOOST_TEST(domains.count("a") == 1U);
+  BOOST_TEST(domains.size() <= 16U);
+}
+
 BOOST_AUTO_TEST_CASE(suspect_engines_are_excluded) {
   Fixture f;
   std::set<std::string> suspect_ids;
--- a/tests/placement/layout_shape_test.cc
+++ b/tests/placement/layout_shape_test.cc
@@ -54,6 +54,26 @@
 
 BOOST_AUTO_TEST_SUITE(layout_shape)
 
+// Guards against a search that takes time exponential in the number of kinds: six foreign entries
+// hung one leader after the other. Completes within the test's time only if the number of scored
+// shapes is bounded.
+BOOST_AUTO_TEST_CASE(many_kinds_are_planned_in_bounded_time) {
+  EngineProfile profile = MixedProfile();
+  std::vector<LayoutEngine> engines;
+  for (int kind = 0; kind < 24; ++kind) {
+    const std::string name = "kind-" + std::to_string(kind);
+    profile.kinds[name] = {name, 72000, 1.0 + kind, 1};
+    for (const char* const domain : {"a", "b"}) {
+      engines.push_back({name + domain, domain, name, std::nullopt});
+    }
+  }
+  const LayoutShape shape = ChooseLayoutShape(profile, engines);
+  BOOST_TEST(shape.cell_layers > 0);
+  for (const LayoutEngine& engine : engines) {
+    BOOST_TEST(shape.CellsOf(engine.accelerator) > 0);
+  }
+}
+
 // Load pattern: steady load. Guards against failure domains that cannot serve on their own: each of
 // their requests would cross the links between domains, which carry fewer requests than arrive.
 BOOST_AUTO_TEST_CASE(every_failure_domain_serves_alone_in_every_deployment) {
--- a/tests/support/text_codec.h
+++ b/tests/support/text_codec.h
@@ -12,7 +12,8 @@
 
 namespace azuregw {
 
-// Values are plain: a version for the configuration, "draining" or "ready" for an upstream.
+// Values are plain: a version for the configuration, "draining" or "ready" for an upstream,
+// "foreign" for one of a service that no configuration knows.
 class TextCodec final : public PlatformCodec {
  public:
   std::string ConfigKey() const override { return "config"; }
@@ -27,11 +28,14 @@
   }
   Result<UpstreamRecord> DecodeUpstream(std::string_view key,
                                         std::string_view value) const override {
-    if (value != "ready" && value != "draining") {
+    if (value != "ready" && value != "draining" && value != "foreign") {
       return NotRun(ResultCode::kInvalidField, "state");
     }
     UpstreamRecord record = EngineRecordOf(std::string(key.substr(3)), "a", "", std::nullopt);
     record.draining = value == "draining";
+    if (value == "foreign") {
+      record.service = "foreign";
+    }
     return record;
   }
 };
--- a/tests/sync/sync_sessions_test.cc
+++ b/tests/sync/sync_sessions_test.cc
@@ -483,6 +483,42 @@
   BOOST_TEST(store.Era()->Current() == 3U);
 }
 
+// Guards against followers that hear of versions from the leader alone, which lacks the newest one.
+BOOST_AUTO_TEST_CASE(leader_announces_versions_that_only_a_follower_has) {
+  Fixture f;
+  FollowerState other;
+  InstanceReport report;
+  report.instance = "i3";
+  report.stamp_us = 1;
+  report.config_version = 8;
+  f.leader_session.OnReport(report, &other);
+  f.Exchange();
+  BOOST_TEST(f.leader.watcher.Version() == 3U);
+  BOOST_TEST(f.follower.watcher.NewestKnown() == 8U);
+}
+
+// Guards against entries of other writers that make the list larger than a message: the followers
+// closed the connection and stopped following it. Sound upstreams stay listed.
+BOOST_AUTO_TEST_CASE(list_of_many_foreign_entries_fits_a_message) {
+  Fixture f;
+  f.follower.watcher.Start();
+  RoutingConfig config;
+  config.services["model"].name = "model";
+  f.leader.fleet.SetConfig(std::make_shared<const RoutingConfig>(config));
+  const std::string long_name(180, 'x');
+  for (int i = 0; i < 8000; ++i) {
+    f.store.Put("up/a-foreign-" + std::to_string(i) + long_name, "foreign");
+  }
+  f.store.Put("up/z-sound", "ready");
+  f.loop.Advance(Milliseconds(2000));
+  BOOST_TEST(f.leader.fleet.Find("z-sound") != nullptr);
+  BOOST_TEST(f.leader.lister.LeftOutEntries() > 0U);
+  BOOST_REQUIRE(f.leader_session.UpdateUpstreams());
+  f.leader_session.OnReport(f.follower_session.BuildReport(), &f.follower_state);
+  const StateUpdate update = f.leader_session.UpdateFor(&f.follower_state, true);
+  BOOST_TEST(EncodeSyncMessage(update)->size() <= size_t{1} << 20);
+}
+
 // Guards against keys that a follower rejects after a restore although the operator has written the
 // active version again: it knows from the leader which revision the version had before.
 BOOST_AUTO_TEST_CASE(follower_sees_that_its_version_was_written_again) {
