Confirm no version of a restored store before the others are heard

Cause: an instance takes the version of a restored store for the newest after a second unless it has heard of a newer one, and it hears of versions from the leader alone. For three seconds after a restore there is none, and a leader that started meanwhile did not tell what its followers have. Ruled out: instances that went on running, which know the version that the store lacks.

Change: an instance that had no confirmed version before the restore waits until the operator has written again, the leader confirms, or, as the leader, its followers have had 1.5 s to report; without any leader for 8 s. The leader announces the newest version that any instance has.

This works because those that know better are asked before the version counts.

--- a/include/azuregw/sync/config_watcher.h
+++ b/include/azuregw/sync/config_watcher.h
@@ -6,6 +6,7 @@
 #ifndef AZUREGW_SYNC_CONFIG_WATCHER_H_
 #define AZUREGW_SYNC_CONFIG_WATCHER_H_
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -47,6 +48,15 @@
   static constexpr Milliseconds kReadSpreadPerInstance{2};
   // Interval of the freshness check while store calls are skipped.
   static constexpr Milliseconds kRelayCheckInterval{100};
+  // Time after which a new leader has heard of the versions of all followers: they find it within a
+  // poll of the lease and report at the longest interval.
+  static constexpr Milliseconds kFollowerReportTime{1500};
+  // Longest wait of an instance that started on a restored store for the word of a leader. A leader
+  // is elected 3 s after a restore; without one, nobody else may be left.
+  static constexpr Milliseconds kMaxLeaderWait{8000};
+  // Time after a restore in which a version that others have may be missing from the store. Later
+  // ones are new, and reach this instance shortly.
+  static constexpr Milliseconds kRestoreTime{20000};
 
   // All pointers must outlive the watcher.
   ConfigWatcher(EventLoop* loop, AsyncKeyValueStore* store, const PlatformCodec* codec,
@@ -58,7 +68,10 @@
   void SetListener(std::function<void()> listener) { m_listener = std::move(listener); }
   // Sets whether this instance relays the configuration to followers. A relaying instance always
   // calls the store and uses kRelayingWatchWait.
-  void SetRelaying(bool relaying) { m_relaying = relaying; }
+  void SetRelaying(bool relaying) {
+    m_relaying = relaying;
+    m_relaying_since = m_loop->Now();
+  }
   // Handles a configuration relayed by the leader: `version` was the newest one at `confirmed`, in
   // local time, and the entry has `revision` in the store, or 0 if that is unknown. `document` is
   // empty when this instance already has the version, or should read it from the store.
@@ -68,6 +81,12 @@
   // Handles the version that a follower states to have. After a restore it may be one that the
   // store lacks, so that the active version was taken for the newest one by mistake.
   void OnInstanceVersion(uint64_t version);
+  // Handles the newest version that the leader knows any instance to have.
+  void OnNewestVersion(uint64_t version);
+  // Returns the newest version that this instance knows to exist, whether or not it has it.
+  uint64_t NewestKnown() const {
+    return std::max({m_table->Version(), m_newest_relayed, m_newest_elsewhere});
+  }
   // Handles a message of the leader that the store holds no configuration yet.
   void OnRelayedAbsence() { m_absence_relayed = m_loop->Now(); }
   // Returns whether this instance found no configuration in the store a short time ago.
@@ -107,8 +126,14 @@
   // Returns whether the state of the store at `when` includes all that operators have written. A
   // restored store may lack versions that it had acknowledged and that removed keys. One that holds
   // an older version than an instance has seen does lack versions, however long ago the restore
-  // was. Otherwise the operator has written again, or has had kRewriteGrace to do so.
+  // was. Otherwise the operator has written again, or has had kRewriteGrace to do so. An instance
+  // that has seen no version before the restore also needs those of the others.
   bool IsComplete(TimePoint when) const;
+  // Returns whether the versions that the other instances have are known at `when`: this instance
+  // leads them, or nobody does for so long that there may be none.
+  bool KnowsVersionsOfOthers(TimePoint when) const;
+  // Withdraws the confirmation of the active version, since another instance has a newer one.
+  void Withdraw(uint64_t version);
   void OnStoreRestored();
   void Schedule(Milliseconds delay, void (ConfigWatcher::*step)());
 
@@ -135,6 +160,8 @@
   uint64_t m_newest_elsewhere = 0;   // Newest version that another instance has.
   bool m_newest_unreadable = false;  // A read failed after the announcement.
   bool m_relaying = false;
+  TimePoint m_relaying_since;
+  bool m_confirmed_before_restore = false;  // This process had a version before the last restore.
   std::string m_document;  // Stored form of the active configuration; empty before the first.
   std::optional<TimePoint> m_absence_read;     // Last read that found no configuration.
   std::optional<TimePoint> m_absence_relayed;  // Last message of the leader that there is none.
--- a/src/sync/config_watcher.cc
+++ b/src/sync/config_watcher.cc
@@ -19,6 +19,7 @@
   m_must_read = true;  // Revisions are given out again.
   m_rewritten = false;
   m_read_version = 0;
+  m_confirmed_before_restore |= m_table->ConfirmedAt().has_value();
 }
 
 void ConfigWatcher::Schedule(Milliseconds delay, void (ConfigWatcher::*step)()) {
@@ -61,7 +62,21 @@
 
 void ConfigWatcher::OnInstanceVersion(uint64_t version) {
   m_newest_elsewhere = std::max(m_newest_elsewhere, version);
-  if (version > m_table->Version() && m_store->Era()->NoticedAt() && m_table->ConfirmedAt()) {
+  if (version > m_table->Version() && m_store->Era()->NoticedAt()) {
+    Withdraw(version);
+  }
+}
+
+void ConfigWatcher::OnNewestVersion(uint64_t version) {
+  m_newest_elsewhere = std::max(m_newest_elsewhere, version);
+  const std::optional<TimePoint> restored = m_store->Era()->NoticedAt();
+  if (version > m_table->Version() && restored && m_loop->Now() - *restored < kRestoreTime) {
+    Withdraw(version);
+  }
+}
+
+void ConfigWatcher::Withdraw(uint64_t version) {
+  if (m_table->ConfirmedAt()) {
     m_table->WithdrawConfirmation();
     m_log->Write("config_confirmation_withdrawn",
                  {{"version", m_table->Version()}, {"version_elsewhere", version}}, true);
@@ -154,7 +169,16 @@
     return true;  // Never restored, as far as is known.
   }
   const uint64_t newest_seen = std::max(m_newest_relayed, m_newest_elsewhere);
-  return m_read_version >= newest_seen && (m_rewritten || when >= era.UnsettledUntil());
+  if (m_read_version < newest_seen) {
+    return false;
+  }
+  const bool settled = when >= era.UnsettledUntil();
+  return m_rewritten || (settled && (m_confirmed_before_restore || KnowsVersionsOfOthers(when)));
+}
+
+bool ConfigWatcher::KnowsVersionsOfOthers(TimePoint when) const {
+  const bool leads = m_relaying && when - m_relaying_since >= kFollowerReportTime;
+  return leads || when - *m_store->Era()->NoticedAt() >= kMaxLeaderWait;
 }
 
 bool ConfigWatcher::KnownAbsent() const {
--- a/src/sync/sync_frames.cc
+++ b/src/sync/sync_frames.cc
@@ -191,6 +191,7 @@
     table.config_revision = update.config->revision;
   }
   table.config_absent = update.config_absent;
+  table.newest_config_version = update.newest_config_version;
   if (update.list_age_us) {
     table.list_known = true;
     table.list_age_us = *update.list_age_us;
@@ -229,6 +230,7 @@
                                   table.config_revision};
   }
   update.config_absent = table.config_absent;
+  update.newest_config_version = table.newest_config_version;
   if (table.list_known) {
     update.list_age_us = table.list_age_us;
     update.list.full = table.list_whole;
--- a/src/sync/sync_frames.h
+++ b/src/sync/sync_frames.h
@@ -50,7 +50,8 @@
   InstanceNumber receiver = 0;  // Number of the receiving follower.
   int64_t echo_us = 0;          // `stamp_us` of the receiver's last report; 0 if none has arrived.
   std::optional<RelayedConfig> config;
-  bool config_absent = false;  // The store holds no configuration yet.
+  bool config_absent = false;          // The store holds no configuration yet.
+  uint64_t newest_config_version = 0;  // That the leader knows any instance to have.
   // Age of the list, defined as for RelayedConfig::age_us. `list` is empty if unset.
   std::optional<int64_t> list_age_us;
   UpstreamDelta list;
--- a/src/sync/sync_sessions.cc
+++ b/src/sync/sync_sessions.cc
@@ -76,6 +76,7 @@
     }
   }
   update.config_absent = m_state.config->KnownAbsent();
+  update.newest_config_version = m_state.config->NewestKnown();
   if (const auto list_confirmed = m_state.lister->Confirmed();
       list_confirmed && m_history.Version() > 0) {
     update.list_age_us = ToMicroseconds(follower->report_arrived - *list_confirmed);
@@ -142,6 +143,8 @@
   const auto to_local_time = [&update](int64_t age_us) {
     return TimePoint(std::chrono::microseconds(update.echo_us - age_us));
   };
+  // Also a version that the leader itself lacks: another follower has it.
+  m_state.config->OnNewestVersion(update.newest_config_version);
   if (update.config) {
     m_state.config->OnRelayedConfig(update.config->version, update.config->document,
                                     update.config->revision, to_local_time(update.config->age_us));
--- a/tests/sync/sync_sessions_test.cc
+++ b/tests/sync/sync_sessions_test.cc
@@ -397,6 +397,7 @@
   BOOST_TEST(copy.receiver == 1);
   BOOST_TEST(copy.echo_us == update.echo_us);
   BOOST_TEST(copy.config->document == "3");
+  BOOST_TEST(copy.newest_config_version == 3U);
   BOOST_TEST(copy.config->age_us == update.config->age_us);
   BOOST_REQUIRE(copy.list.changed.size() == 1U);
   BOOST_TEST((copy.list.changed[0].record == update.list.changed[0].record));
