Queue no item for a layout that is already loaded

Callers of azuregw serve saw: an order refused after its deadline, or an outcome that stayed unwritten as long as the process lived.

Cause: ThreadedCommitter::Route read the number of shards, then locked the queue of items without a shard. If LoadLayout emptied the queue in between, nothing took the item out again.

Change: the number of shards is read again under the lock that LoadLayout holds when it empties the queue.

--- a/src/orders/order_committer.cc
+++ b/src/orders/order_committer.cc
@@ -151,14 +151,23 @@
     RecordCallback record_done;
   };
 
+  // Queues the item while the layout is unknown. Returns false, and leaves the item, if it is
+  // known.
+  bool AwaitLayout(UnroutedItem* item) {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_shards > 0) {
+      return false;  // Loaded in the meantime; nobody would take the item from the queue.
+    }
+    m_unrouted.push_back(std::move(*item));
+    m_worker_wake.notify_one();
+    return true;
+  }
+
   void Route(UnroutedItem item) {
-    const int shard = ShardOf(item.claim.key_hash);
-    if (shard < 0) {
-      const std::lock_guard<std::mutex> lock(m_mutex);
-      m_unrouted.push_back(std::move(item));
-      m_worker_wake.notify_one();
+    if (m_shards == 0 && AwaitLayout(&item)) {
       return;
     }
+    const int shard = ShardOf(item.claim.key_hash);
     Slot* slot = FindSlot(shard);
     {
       const std::lock_guard<std::mutex> lock(slot->mutex);
