Tell text that is no JSON from text beyond its limits

Operators would see: a rejected input for each refusal of the store whose text is no JSON, such as a 503 with a plain message.

Cause: ParseBoundedJson gave both the same error, and JsonCall recorded each of them.

--- a/include/azuregw/base/bounded_json.h
+++ b/include/azuregw/base/bounded_json.h
@@ -20,7 +20,8 @@
   size_t max_values = 0;  // Members, elements and containers.
 };
 
-// Returns the document. Errors: kMalformedJson, which names the limit that the text exceeds.
+// Returns the document. Errors: kBodyTooLarge, which names the limit that the text exceeds;
+// kMalformedJson.
 Result<nlohmann::json> ParseBoundedJson(std::string_view text, const JsonLimits& limits);
 
 }  // namespace azuregw
--- a/src/base/bounded_json.cc
+++ b/src/base/bounded_json.cc
@@ -10,14 +10,12 @@
 namespace azuregw {
 namespace {
 
-Error Malformed(std::string reason) {
-  return NotRun(ResultCode::kMalformedJson, std::move(reason));
-}
+Error Excess(std::string reason) { return NotRun(ResultCode::kBodyTooLarge, std::move(reason)); }
 
 // Returns the first limit that the text exceeds. Counts are exact for valid JSON.
 std::optional<Error> FindExcess(std::string_view text, const JsonLimits& limits) {
   if (text.size() > limits.max_bytes) {
-    return Malformed("longer than " + std::to_string(limits.max_bytes) + " bytes");
+    return Excess("longer than " + std::to_string(limits.max_bytes) + " bytes");
   }
   int depth = 0;
   size_t values = 1;
@@ -40,7 +38,7 @@
       case '{':
         ++values;
         if (++depth > limits.max_depth) {
-          return Malformed("nested deeper than " + std::to_string(limits.max_depth));
+          return Excess("nested deeper than " + std::to_string(limits.max_depth));
         }
         break;
       case ']':
@@ -54,7 +52,7 @@
         break;
     }
     if (values > limits.max_values) {
-      return Malformed("more than " + std::to_string(limits.max_values) + " values");
+      return Excess("more than " + std::to_string(limits.max_values) + " values");
     }
   }
   return std::nullopt;
@@ -68,7 +66,7 @@
   }
   nlohmann::json document = nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
   if (document.is_discarded()) {
-    return Malformed("no valid JSON");
+    return NotRun(ResultCode::kMalformedJson, "no valid JSON");
   }
   return document;
 }
