--- a/tests/sync/config_watcher_test.cc
+++ b/tests/sync/config_watcher_test.cc
@@ -426,6 +426,23 @@
   BOOST_TEST((*f.table.Age(f.loop.Now()) <= ConfigWatcher::kWatchWait + Milliseconds(200)));
 }
 
+// Guards against unreadable entries of other writers that fill the memory, or the log at each list.
+BOOST_AUTO_TEST_CASE(unreadable_entries_are_counted_and_few_are_remembered) {
+  Fixture f;
+  f.store.Put("up/sound", "ready");
+  for (int i = 0; i < 600; ++i) {
+    f.store.Put("up/odd-" + std::to_string(i) + std::string(400, 'x'), "?");
+  }
+  f.lister.Start();
+  f.loop.Advance(Milliseconds(100));
+  BOOST_TEST(f.fleet.Find("sound") != nullptr);
+  BOOST_TEST(f.lister.UnreadableEntries() == 600U);
+  const int logged = f.log.Count("upstream_unreadable");
+  BOOST_TEST(logged <= 600);
+  f.loop.Advance(Milliseconds(1000));  // One more list.
+  BOOST_TEST(f.log.Count("upstream_unreadable") <= logged + 600 - 256);
+}
+
 // Guards against upstreams that are removed because the copy lacks them, although the store was
 // away for a moment only.
 BOOST_AUTO_TEST_CASE(upstreams_missing_after_a_short_restore_are_kept_for_the_grace_period) {
