Take a leader key only with the lease that was granted for it

Cause: after a write of the key without an answer, the key counted as written if it held the own value at a later revision. An earlier write without an answer, carried out late, leaves the same value with its own lease, which nobody renews. When that lease ends, another instance leads.

Change: entries carry their lease, and the key counts only with the lease of this acquisition. Otherwise the instance replaces its own key at the next poll, as after a restart.

Test: leader_lease/ late_write_with_an_earlier_lease_is_not_taken_for_the_own_one fails without the change (two leaders) and passes with it.

--- a/include/azuregw/kv/key_value_store.h
+++ b/include/azuregw/kv/key_value_store.h
@@ -23,6 +23,7 @@
   std::string key;
   std::string value;
   uint64_t revision = 0;  // Of the last change of this key; 0 means that the key is absent.
+  uint64_t lease = 0;     // That the key depends on, as far as the store states it; 0 for none.
 };
 
 struct KvWatchReply {
--- a/src/placement/leader_lease.cc
+++ b/src/placement/leader_lease.cc
@@ -214,8 +214,11 @@
                        if (m_stopped || generation != m_generation) {
                          return;
                        }
+                       // An earlier write that the store carries out late has another lease, which
+                       // nobody renews.
                        if (reading && reading.value().entry &&
                            reading.value().entry->value == m_own_value &&
+                           reading.value().entry->lease == lease &&
                            reading.value().entry->revision > replaced_revision) {
                          BecomeLeader(lease, reading.value().entry->revision, requested_at);
                        } else {
--- a/tests/placement/leader_lease_test.cc
+++ b/tests/placement/leader_lease_test.cc
@@ -207,6 +207,18 @@
   BOOST_TEST(f.first.FencingToken() > 0U);
 }
 
+// Guards against two leaders: the key of the first depends on the lease of an earlier write, which
+// nobody renews.
+BOOST_AUTO_TEST_CASE(late_write_with_an_earlier_lease_is_not_taken_for_the_own_one) {
+  Fixture f;
+  f.store.m_late_write_lease = GrantNow(&f);
+  f.first.Start();
+  f.Run(1000);
+  f.second.Start();
+  f.Run(10000);  // Checks that at most one leads.
+  BOOST_TEST(f.first.Held());
+}
+
 BOOST_AUTO_TEST_CASE(leadership_after_stepping_down_has_a_new_token) {
   Fixture f;
   f.first.Start();
--- a/tests/support/fake_async_store.h
+++ b/tests/support/fake_async_store.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -61,6 +62,8 @@
     ++m_stated_era;
   }
   uint64_t m_stated_era = StoreEra::kFirst;  // Era in the answers.
+  // In place of the next swap, an earlier one of the same value with this lease is carried out.
+  std::optional<uint64_t> m_late_write_lease;
   uint64_t Revision() const { return m_revision; }
 
   // ---- AsyncKeyValueStore ----
@@ -71,7 +74,8 @@
       reading.store_revision = m_revision;
       const auto found = m_items.find(key);
       if (found != m_items.end()) {
-        reading.entry = KvEntry{key, found->second.value, found->second.revision};
+        reading.entry =
+            KvEntry{key, found->second.value, found->second.revision, found->second.lease};
       }
       return reading;
     });
@@ -82,7 +86,7 @@
       listing.store_revision = m_revision;
       for (const auto& [key, item] : m_items) {
         if (key.compare(0, prefix.size(), prefix) == 0) {
-          listing.entries.push_back({key, item.value, item.revision});
+          listing.entries.push_back({key, item.value, item.revision, item.lease});
         }
       }
       return listing;
@@ -109,6 +113,10 @@
                        if (present != expected) {
                          return NotRun(ResultCode::kKvConflict, "changed");
                        }
+                       if (m_late_write_lease) {
+                         Put(key, value, *std::exchange(m_late_write_lease, std::nullopt));
+                         return Unknown(ResultCode::kKvOutcomeUnknown, "lost");
+                       }
                        Put(key, value, lease);
                        if (lost) {
                          return Unknown(ResultCode::kKvOutcomeUnknown, "lost");
