--- a/tests/platform/engine_control_test.cc
+++ b/tests/platform/engine_control_test.cc
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "tests/support/fake_gateway.h"
@@ -29,6 +30,25 @@
   BOOST_TEST(client.calls.front()->request.body().find("repath") != std::string::npos);
 }
 
+// Guards against sound answers that are logged as rejected input: 550 lines in 14 s of a day with
+// crashes. Orders are answered without text, and refused with text that is no JSON.
+BOOST_AUTO_TEST_CASE(answers_without_a_document_are_no_fault) {
+  for (const auto& [status, text] :
+       std::vector<std::pair<int, std::string>>{{200, ""}, {202, ""}, {409, "no room"}}) {
+    FakeLoop loop;
+    FakeHttpClient client;
+    FakeLog log;
+    const auto metrics = MakeMetrics();
+    const auto faults = MakePeerFaultLog(&log, metrics.get());
+    const auto engines = MakeEngineControl({&loop, &client, faults.get()});
+    const std::vector<PathHop> path = {{"e1", "10.0.0.1:80", LayerRange{0, 16}}};
+    engines->Reroute(path.front(), "r1", path, [](OrderOutcome) {});
+    BOOST_REQUIRE(client.calls.size() == 1U);
+    client.calls.front()->Respond(status, text);
+    BOOST_TEST(log.Count("peer_input_rejected") == 0);
+  }
+}
+
 // Guards against reports that fill the memory, as text or as a document, and against engines that
 // count as healthy after such a report.
 BOOST_AUTO_TEST_CASE(report_beyond_its_limits_ends_the_call) {
