--- a/include/azuregw/fleet/fleet.h
+++ b/include/azuregw/fleet/fleet.h
@@ -95,12 +95,15 @@
   UpstreamStatements statements;   // Of the process that `record` describes.
   // The record contradicts the configuration; see ContradictsProfile().
   bool contradictory = false;
+  // End of the retention of an entry that the list lacks; nullopt if the list contains it.
+  std::optional<TimePoint> retained_until;
 
   // Returns whether the upstream exits soon, as the list or the upstream itself states.
   bool Leaving(TimePoint now) const { return record.draining || statements.Leaving(now); }
   // Returns whether the upstream wants new requests from this instance.
   bool Accepts(TimePoint now) const {
-    return !contradictory && !Leaving(now) && !statements.ClosedHere(now);
+    const bool listed = !retained_until || now < *retained_until;
+    return listed && !contradictory && !Leaving(now) && !statements.ClosedHere(now);
   }
   // Returns whether requests should be sent elsewhere if possible, since the upstream fails them,
   // or turns those of other instances away.
@@ -115,19 +118,37 @@
 
 // Change of an upstream between two lists.
 struct FleetChange {
-  enum class Kind { kAdded, kRemoved, kRestarted, kDraining, kReady, kLayers };
+  enum class Kind {
+    kAdded,
+    kRemoved,
+    kRestarted,
+    kDraining,
+    kReady,
+    kLayers,
+    kRetained,
+    kRelisted
+  };
   Kind kind;
   std::string id;
   std::string detail;
 };
 
+// Until when entries stay in use that a list lacks, because their upstreams may still live.
+struct RetentionWindow {
+  TimePoint any_missing;    // Entries that this list lacks, or that earlier ones lacked.
+  TimePoint first_missing;  // Entries that the list before contained.
+};
+
+// Difference of a list to the present one; see Fleet::Compare().
+struct ListDifference {
+  size_t present =
+      0;  // Listed upstreams that neither leave nor have a later process in their place.
+  size_t missing = 0;  // Those of them that the new list lacks.
+};
+
 // Table of all listed upstreams, keyed by ID. Unknown IDs are ignored by all setters.
 class Fleet {
  public:
-  // Time for which an entry that disappeared during a store outage is retained after the store is
-  // back. The platform guarantees that live upstreams are listed again within about 2 s.
-  static constexpr Milliseconds kRelistGrace{2000};
-
   // A suspicion that begins within this time after the end of the last one lasts twice as long, so
   // that flapping upstreams, and those that pass health checks but fail requests, are taken back
   // with exponential backoff.
@@ -151,22 +172,27 @@
   // relayed, since a later configuration may fit them, but serve nothing.
   int Contradictory() const;
 
-  // Replaces the list and returns the changes. `after_outage`: the previous list predates a store
-  // outage; entries missing from `records` are then retained for kRelistGrace.
-  std::vector<FleetChange> Update(std::vector<UpstreamRecord> records, bool after_outage,
-                                  TimePoint now);
+  // Returns what Update() with `records` would find missing.
+  ListDifference Compare(gsl::span<const UpstreamRecord> records, TimePoint now) const;
+  // Replaces the list and returns the changes. Entries missing from `records` are removed, or
+  // retained within `window`.
+  std::vector<FleetChange> Update(std::vector<UpstreamRecord> records,
+                                  const RetentionWindow& window, TimePoint now);
+  // As above, without retention.
+  std::vector<FleetChange> Update(std::vector<UpstreamRecord> records, TimePoint now) {
+    return Update(std::move(records), RetentionWindow(), now);
+  }
 
-  // Handles a restore of the store from a backup. Entries that are missing are retained for
-  // kRelistGrace. For `entry_ttl`, after which the entries of upstreams that no longer write have
-  // expired, lists that contradict what is known of an upstream's process do not count: a process
-  // that was leaving or gone stays so.
+  // Handles a restore of the store from a backup. For `entry_ttl`, after which the entries of
+  // upstreams that no longer write have expired, lists that contradict what is known of an
+  // upstream's process do not count: a process that was leaving or gone stays so.
   void OnStoreRestored(Milliseconds entry_ttl, TimePoint now);
   // Returns whether a list may contain entries that OnStoreRestored() excludes; only Update() ends
   // this.
   bool Reconciling() const { return m_reconciling; }
 
-  // Returns whether entries that disappeared in an outage are retained; only Update() removes them.
-  bool HasRetainedUpstreams() const { return !m_retained_until.empty(); }
+  // Returns the number of retained entries; only Update() removes them.
+  size_t RetainedUpstreams() const;
 
   // Excludes `id` from new requests for `duration`, or longer after a relapse. Returns whether `id`
   // was not suspect before.
@@ -268,6 +294,9 @@
   // Returns the latest start at each address in `records` and in the present list. Entries of
   // earlier processes there are outdated: those of crashed processes stay until they expire.
   std::map<std::string, int64_t> LatestStarts(gsl::span<const UpstreamRecord> records) const;
+  // Returns whether a later process has the address of `record`.
+  static bool Superseded(const UpstreamRecord& record,
+                         const std::map<std::string, int64_t>& latest_starts);
   // Replaces what `record` says of a process by what is known of it, if that is newer. Returns
   // false if the process is gone.
   bool Reconcile(UpstreamRecord* record) const;
@@ -287,12 +316,9 @@
 
   std::shared_ptr<const RoutingConfig> m_config;
   std::map<std::string, Upstream> m_upstreams;
-  // Retention deadline of each entry that disappeared in an outage, by ID.
-  std::map<std::string, TimePoint> m_retained_until;
   std::map<std::string, RemovedProcess> m_removed;  // By ID.
-  TimePoint m_relist_until;     // Missing entries are retained, because the store was restored.
-  TimePoint m_reconcile_until;  // Lists may contain entries of the copy.
-  bool m_reconciling = false;   // The last list was applied before m_reconcile_until.
+  TimePoint m_reconcile_until;                      // Lists may contain entries of the copy.
+  bool m_reconciling = false;  // The last list was applied before m_reconcile_until.
   LinkLoad m_links;
   FleetPosition m_position;
   std::function<void()> m_on_health_report = [] {};
--- a/include/azuregw/sync/upstream_lister.h
+++ b/include/azuregw/sync/upstream_lister.h
@@ -20,7 +20,9 @@
 #include "azuregw/fleet/fleet.h"
 #include "azuregw/kv/async_key_value_store.h"
 #include "azuregw/logging/event_log.h"
+#include "azuregw/sync/outage_evidence.h"
 #include "azuregw/sync/platform_codec.h"
+#include "azuregw/sync/removal_bounds.h"
 #include "azuregw/sync/store_retry.h"
 #include "azuregw/sync/upstream_relay.h"
 
@@ -30,20 +32,6 @@
 // loop's thread only.
 class UpstreamLister {
  public:
-  // Polling interval as a fraction of the leaving bound.
-  static constexpr double kIntervalFraction = 0.45;
-  // Polling interval on the leader; shorter because relaying adds to the age seen by followers.
-  static constexpr Milliseconds kRelayingInterval{500};
-  // Store calls are skipped until the relayed list is this close to the leaving bound. A slow store
-  // takes 400 ms to answer.
-  static constexpr Milliseconds kRelayMargin{500};
-  // Heartbeats without which the store drops an entry.
-  static constexpr int kMissedHeartbeats = 3;
-  // Interval of the freshness check while store calls are skipped.
-  static constexpr Milliseconds kRelayCheckInterval{100};
-  // If the list last matched the store longer ago than this, upstream entries may have expired
-  // there.
-  static constexpr Milliseconds kOutageThreshold{1800};
   // Size of the list up to which it fits a message of 1 MiB to a follower; 3,600 usual entries take
   // 0.6 MB.
   static constexpr size_t kMaxListBytes = size_t{900} << 10;
@@ -54,14 +42,12 @@
       : m_loop(loop), m_store(store), m_codec(codec), m_fleet(fleet), m_retry(retry), m_log(log) {}
 
   void Start();
-  // Sets the time within which a leaving upstream must be known.
-  void SetLeavingBound(Milliseconds bound) { m_leaving_bound = bound; }
-  // Sets the interval at which upstreams write their entries.
-  void SetHeartbeat(Milliseconds interval) { m_heartbeat = interval; }
+  // Sets the times that decide when the list is read and how long missing entries are retained.
+  void SetBounds(const RemovalBounds& bounds) { m_bounds = bounds; }
   // Sets the callback that runs after each change of the fleet.
   void SetListener(std::function<void()> listener) { m_listener = std::move(listener); }
   // Sets whether this instance relays the list to followers. A relaying instance always calls the
-  // store and uses kRelayingInterval.
+  // store.
   void SetRelaying(bool relaying) { m_relaying = relaying; }
   // Handles a list relayed by the leader that matched the store at `confirmed`, in local time.
   // `changed` tells whether the list differs from that of the previous call.
@@ -79,12 +65,16 @@
   // Reads the list, or waits while the relayed list is fresh.
   void RunNextStep();
   void Read();
+  // Records that a call which was sent at `sent` failed.
+  void OnFailure(const Error& error, TimePoint sent);
   void Apply(const KvListing& listing, TimePoint sent);
   // Leaves out the records beyond kMaxListBytes.
   void LimitSize(std::vector<UpstreamRecord>* records);
-  // Applies the records to the fleet and logs the changes. `after_outage` tells whether entries may
-  // have expired during a store outage.
-  void Adopt(std::vector<UpstreamRecord> records, bool after_outage, std::string_view source);
+  // Records that the list matched the store at `confirmed`. Returns when the one before did.
+  TimePoint Confirm(TimePoint confirmed);
+  // Applies the records to the fleet and logs the changes. The list before matched the store at
+  // `previous`.
+  void Adopt(std::vector<UpstreamRecord> records, TimePoint previous, std::string_view source);
 
   EventLoop* const m_loop;
   AsyncKeyValueStore* const m_store;
@@ -94,8 +84,8 @@
   EventLog* const m_log;
   std::function<void()> m_listener;
   std::optional<TimePoint> m_confirmed;
-  Milliseconds m_leaving_bound{2000};
-  Milliseconds m_heartbeat{1200};
+  RemovalBounds m_bounds{RemovalSettings()};
+  OutageEvidence m_evidence;
   bool m_store_failing = false;
   bool m_relaying = false;
   std::optional<TimePoint> m_relay_confirmed;  // When the relayed list last matched the store.
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -22,7 +22,6 @@
 }  // namespace
 
 void Fleet::OnStoreRestored(Milliseconds entry_ttl, TimePoint now) {
-  m_relist_until = now + kRelistGrace;
   m_reconcile_until = now + entry_ttl;
   m_reconciling = true;
 }
@@ -79,20 +78,45 @@
   return latest;
 }
 
-std::vector<FleetChange> Fleet::Update(std::vector<UpstreamRecord> records, bool after_outage,
-                                       TimePoint now) {
+bool Fleet::Superseded(const UpstreamRecord& record,
+                       const std::map<std::string, int64_t>& latest_starts) {
+  const auto latest = latest_starts.find(record.address);
+  return latest != latest_starts.end() && record.started_ms > 0 &&
+         record.started_ms < latest->second;
+}
+
+ListDifference Fleet::Compare(gsl::span<const UpstreamRecord> records, TimePoint now) const {
+  std::set<std::string_view> listed;
+  for (const UpstreamRecord& record : records) {
+    listed.insert(record.id);
+  }
+  const std::map<std::string, int64_t> latest_starts = LatestStarts(records);
+  ListDifference difference;
+  for (const auto& [id, upstream] : m_upstreams) {
+    if (upstream.retained_until || upstream.Leaving(now) ||
+        Superseded(upstream.record, latest_starts)) {
+      continue;
+    }
+    ++difference.present;
+    difference.missing += listed.count(id) == 0 ? 1 : 0;
+  }
+  return difference;
+}
+
+size_t Fleet::RetainedUpstreams() const {
+  return static_cast<size_t>(
+      std::count_if(m_upstreams.begin(), m_upstreams.end(),
+                    [](const auto& entry) { return entry.second.retained_until.has_value(); }));
+}
+
+std::vector<FleetChange> Fleet::Update(std::vector<UpstreamRecord> records,
+                                       const RetentionWindow& window, TimePoint now) {
   std::vector<FleetChange> changes;
   std::map<std::string, Upstream> next;
   m_reconciling = now < m_reconcile_until;
-  after_outage |= now < m_relist_until;
   const std::map<std::string, int64_t> latest_starts = LatestStarts(records);
-  const auto superseded = [&latest_starts](const UpstreamRecord& record) {
-    const auto latest = latest_starts.find(record.address);
-    return latest != latest_starts.end() && record.started_ms > 0 &&
-           record.started_ms < latest->second;
-  };
   for (UpstreamRecord& record : records) {
-    if (superseded(record) || (m_reconciling && !Reconcile(&record))) {
+    if (Superseded(record, latest_starts) || (m_reconciling && !Reconcile(&record))) {
       continue;
     }
     Upstream upstream;
@@ -125,7 +149,10 @@
         changes.push_back({FleetChange::Kind::kLayers, record.id, FormatLayers(record.layers)});
       }
     }
-    m_retained_until.erase(record.id);
+    if (upstream.retained_until) {
+      upstream.retained_until.reset();
+      changes.push_back({FleetChange::Kind::kRelisted, record.id, ""});
+    }
     upstream.record = std::move(record);
     upstream.contradictory = Contradicts(upstream.record);
     const std::string id = upstream.record.id;
@@ -135,16 +162,18 @@
     if (next.count(id) > 0) {
       continue;
     }
-    const bool gone = superseded(upstream.record);
-    if (after_outage && !gone) {
-      m_retained_until.emplace(id, now + kRelistGrace);
-    }
-    const auto retained = m_retained_until.find(id);
-    if (!gone && retained != m_retained_until.end() && now < retained->second) {
+    const bool gone = Superseded(upstream.record, latest_starts);
+    const bool first = !upstream.retained_until;
+    const TimePoint until =
+        std::max(first ? window.first_missing : *upstream.retained_until, window.any_missing);
+    if (!gone && now < until) {
+      if (first) {
+        changes.push_back({FleetChange::Kind::kRetained, id, ""});
+      }
+      upstream.retained_until = until;
       next.emplace(id, std::move(upstream));
       continue;
     }
-    m_retained_until.erase(id);
     RememberRemoved(upstream, now);
     changes.push_back(
         {FleetChange::Kind::kRemoved, id, gone ? "a later process has its address" : ""});
--- a/src/forward/gateway.cc
+++ b/src/forward/gateway.cc
@@ -21,9 +21,9 @@
 #include "azuregw/net/status_server.h"
 #include "azuregw/placement/layout_controller.h"
 #include "azuregw/placement/leader_lease.h"
-#include "azuregw/routes/key_age.h"
 #include "azuregw/sync/config_watcher.h"
 #include "azuregw/sync/quarantine_store.h"
+#include "azuregw/sync/removal_bounds.h"
 #include "azuregw/sync/state_exchange.h"
 #include "azuregw/sync/upstream_lister.h"
 #include "forward/engine_health_checker.h"
@@ -63,7 +63,8 @@
                            {settings.name, settings.failure_domain, 1})),
         m_peer_faults(MakePeerFaultLog(m_log.get(), m_metrics.get())),
         m_platform(make_platform(m_loop.get(), m_client.get(), m_peer_faults.get())),
-        m_routes(KeyAgeLimit(settings.key_removal_bound)),
+        m_removal_bounds({settings.leaving_bound, settings.heartbeat, settings.key_removal_bound}),
+        m_routes(m_removal_bounds.MaxKeyAge()),
         m_paths(m_random.get()),
         m_budget({settings.retry_budget_ratio, settings.retry_budget_slack,
                   settings.retry_budget_window}),
@@ -113,7 +114,7 @@
                  {{"callers", EndpointText(m_context.settings.caller_address)},
                   {"readiness", EndpointText(m_context.settings.readiness_address)},
                   {"store", EndpointText(m_context.settings.store_address)},
-                  {"key_age_limit_ms", KeyAgeLimit(m_context.settings.key_removal_bound).count()}},
+                  {"key_age_limit_ms", m_removal_bounds.MaxKeyAge().count()}},
                  true);
     const Result<void> limits = CheckTransferLimits(m_context.settings);
     if (!limits) {
@@ -158,8 +159,7 @@
     m_fleet.SetHealthReportListener([this] { m_exchange->OnHealthReport(); });
     m_fleet.SetStatementListener([this](const StatementChange& change) { OnStatement(change); });
     m_quarantine.SetListener([this] { m_exchange->OnHealthReport(); });
-    m_lister.SetHeartbeat(m_context.settings.heartbeat);
-    m_lister.SetLeavingBound(m_context.settings.leaving_bound);
+    m_lister.SetBounds(m_removal_bounds);
     m_leader_lease.SetCpuShares(m_context.settings.cpu_share, std::nullopt);
     m_config_watcher.Start();
     m_lister.Start();
@@ -246,6 +246,8 @@
     m_metrics->Set("azuregw_store_restores", "",
                    static_cast<double>(m_platform.store->Era()->Restores()));
     m_metrics->Set("azuregw_upstreams", "", static_cast<double>(m_fleet.All().size()));
+    m_metrics->Set("azuregw_retained_upstreams", "",
+                   static_cast<double>(m_fleet.RetainedUpstreams()));
     m_metrics->Set("azuregw_contradictory_upstreams", "", m_fleet.Contradictory());
     m_metrics->Set("azuregw_unreadable_upstream_entries", "",
                    static_cast<double>(m_lister.UnreadableEntries()));
@@ -273,7 +275,7 @@
   // confirms the configuration.
   void AcceptWhenConfigured() {
     const TimePoint now = m_loop->Now();
-    const bool keys_expire = KeyAgeLimit(m_context.settings.key_removal_bound).count() > 0;
+    const bool keys_expire = m_removal_bounds.MaxKeyAge().count() > 0;
     const bool config_known = keys_expire ? m_routes.Age(now).has_value() : m_routes.Version() > 0;
     const bool known = config_known && m_lister.Age() && m_quarantine_store.Started();
     const TimePoint latest = std::max(m_started + kMaxConfigWait,
@@ -391,6 +393,7 @@
   std::unique_ptr<EventLog> m_log;
   std::unique_ptr<PeerFaultLog> m_peer_faults;
   GatewayPlatform m_platform;
+  const RemovalBounds m_removal_bounds;
   RouteTable m_routes;
   Fleet m_fleet;
   PathSelector m_paths;
--- a/src/sync/upstream_lister.cc
+++ b/src/sync/upstream_lister.cc
@@ -24,6 +24,10 @@
       return "ready";
     case FleetChange::Kind::kLayers:
       return "layers";
+    case FleetChange::Kind::kRetained:
+      return "retained";
+    case FleetChange::Kind::kRelisted:
+      return "relisted";
   }
   return "unknown";
 }
@@ -34,16 +38,6 @@
 constexpr size_t kMaxLoggedKeys = 256;
 constexpr size_t kMaxLoggedKeyBytes = 200;
 
-// Part of the leaving bound that is left for an own call to the store. Deployments with a large
-// bound have many instances, which all call the store when they lose the leader.
-constexpr double kRelayMarginFraction = 0.35;
-
-Milliseconds RelayMargin(Milliseconds leaving_bound) {
-  return std::max(UpstreamLister::kRelayMargin,
-                  Milliseconds(static_cast<int64_t>(kRelayMarginFraction *
-                                                    static_cast<double>(leaving_bound.count()))));
-}
-
 }  // namespace
 
 std::optional<Milliseconds> UpstreamLister::Age() const {
@@ -55,7 +49,8 @@
 
 void UpstreamLister::Start() {
   m_store->Era()->AddListener([this](uint64_t, std::string_view) {
-    m_fleet->OnStoreRestored(kMissedHeartbeats * m_heartbeat + Fleet::kRelistGrace, m_loop->Now());
+    m_evidence.OnStoreRestored(m_bounds, m_loop->Now());
+    m_fleet->OnStoreRestored(m_bounds.CopiedEntryTtl(), m_loop->Now());
   });
   Read();
 }
@@ -66,18 +61,18 @@
   if (m_confirmed && confirmed <= *m_confirmed) {
     return;  // The list read from the store is newer.
   }
-  m_confirmed = confirmed;
+  const TimePoint previous = Confirm(confirmed);
   m_relay_confirmed = confirmed;
-  if (m_relay_pending || m_fleet->HasRetainedUpstreams() || m_fleet->Reconciling()) {
+  if (m_relay_pending || m_fleet->RetainedUpstreams() > 0 || m_fleet->Reconciling()) {
     m_relay_pending = false;
-    Adopt(list.Records(), false, "instance");
+    Adopt(list.Records(), previous, "instance");
   }
 }
 
 void UpstreamLister::RunNextStep() {
   if (!m_relaying && m_relay_confirmed &&
-      m_loop->Now() - *m_relay_confirmed < m_leaving_bound - RelayMargin(m_leaving_bound)) {
-    m_timer = m_loop->After(kRelayCheckInterval, [this] { RunNextStep(); });
+      m_loop->Now() - *m_relay_confirmed < m_bounds.MaxRelayedListAge()) {
+    m_timer = m_loop->After(RemovalBounds::kRelayCheckInterval, [this] { RunNextStep(); });
     return;
   }
   Read();
@@ -89,19 +84,23 @@
       m_codec->UpstreamPrefix(), ReadMode::kNewest, [this, sent](Result<KvListing> listing) {
         if (listing) {
           Apply(listing.value(), sent);
-        } else if (!m_store_failing) {
-          m_store_failing = true;
-          m_log->Write("store_lost", {{"for", "upstreams"}, {"reason", listing.error().message}},
-                       true);
+        } else {
+          OnFailure(listing.error(), sent);
         }
-        const auto own_interval = Milliseconds(
-            static_cast<int64_t>(kIntervalFraction * static_cast<double>(m_leaving_bound.count())));
-        const Milliseconds interval = m_relaying ? kRelayingInterval : own_interval;
+        const Milliseconds interval = m_bounds.ListInterval(m_relaying);
         m_timer =
             m_loop->After(listing ? interval : m_retry->NextDelay(), [this] { RunNextStep(); });
       });
 }
 
+void UpstreamLister::OnFailure(const Error& error, TimePoint sent) {
+  m_evidence.OnCallFailed(sent);
+  if (!m_store_failing) {
+    m_store_failing = true;
+    m_log->Write("store_lost", {{"for", "upstreams"}, {"reason", error.message}}, true);
+  }
+}
+
 void UpstreamLister::Apply(const KvListing& listing, TimePoint sent) {
   std::vector<UpstreamRecord> records;
   std::set<std::string> unreadable;  // Of this list, so that keys that are gone are forgotten.
@@ -124,17 +123,16 @@
   }
   m_unreadable = std::move(unreadable);
   LimitSize(&records);
-  const bool after_outage = m_confirmed && m_loop->Now() - *m_confirmed > kOutageThreshold;
   if (m_store_failing) {
     m_store_failing = false;
-    m_log->Write("store_regained", {{"for", "upstreams"}, {"after_outage", after_outage}}, true);
+    m_log->Write("store_regained", {{"for", "upstreams"}}, true);
   }
   if (m_confirmed && sent <= *m_confirmed) {
     return;  // The relayed list is newer.
   }
-  m_confirmed = sent;
+  const TimePoint previous = Confirm(sent);
   m_relay_pending = true;
-  Adopt(std::move(records), after_outage, "store");
+  Adopt(std::move(records), previous, "store");
 }
 
 void UpstreamLister::LimitSize(std::vector<UpstreamRecord>* records) {
@@ -160,10 +158,34 @@
   m_left_out_entries = left_out;
 }
 
-void UpstreamLister::Adopt(std::vector<UpstreamRecord> records, bool after_outage,
+TimePoint UpstreamLister::Confirm(TimePoint confirmed) {
+  const TimePoint previous = m_confirmed.value_or(confirmed);
+  m_evidence.OnConfirmed(previous, confirmed, m_bounds, m_loop->Now());
+  m_confirmed = confirmed;
+  return previous;
+}
+
+void UpstreamLister::Adopt(std::vector<UpstreamRecord> records, TimePoint previous,
                            std::string_view source) {
-  const std::vector<FleetChange> changes =
-      m_fleet->Update(std::move(records), after_outage, m_loop->Now());
+  const TimePoint now = m_loop->Now();
+  const RetentionWindow window =
+      m_evidence.Window(m_fleet->Compare(records, now), previous, *m_confirmed, m_bounds, now);
+  const std::vector<FleetChange> changes = m_fleet->Update(std::move(records), window, now);
+  const auto retained = std::count_if(changes.begin(), changes.end(), [](const auto& change) {
+    return change.kind == FleetChange::Kind::kRetained;
+  });
+  if (retained > 0) {
+    const auto list_age = std::chrono::duration_cast<Milliseconds>(now - previous);
+    const auto left = std::chrono::duration_cast<Milliseconds>(
+        std::max(window.any_missing, window.first_missing) - now);
+    m_log->Write("upstreams_retained",
+                 {{"entries", retained},
+                  {"evidence", m_evidence.Name()},
+                  {"list_age_ms", list_age.count()},
+                  {"for_ms", left.count()},
+                  {"source", source}},
+                 true);
+  }
   for (const FleetChange& change : changes) {
     m_log->Write("upstream",
                  {{"upstream", change.id},
--- a/tests/fleet/fleet_test.cc
+++ b/tests/fleet/fleet_test.cc
@@ -51,7 +51,7 @@
     if (config_first) {
       fleet.SetConfig(ModelConfig());
     }
-    fleet.Update(records, false, kNow);
+    fleet.Update(records, kNow);
     fleet.SetConfig(ModelConfig());
     BOOST_TEST(fleet.Contradictory() == 4);
     for (const auto& [id, upstream] : fleet.All()) {
@@ -72,7 +72,7 @@
       EngineRecordOf("foreign", "a", "a100", LayerRange{0, 900})};
   records[1].address = records[0].address;
   records[1].started_ms = records[0].started_ms + 1000;
-  fleet.Update(records, false, kNow);
+  fleet.Update(records, kNow);
   BOOST_REQUIRE(fleet.Find("sound") != nullptr);
   BOOST_TEST(fleet.Find("sound")->Accepts(kNow));
   BOOST_TEST(*fleet.FindByAddress(records[0].address) == "sound");
@@ -82,8 +82,8 @@
 
 BOOST_AUTO_TEST_CASE(removed_entry_is_dropped_at_once_without_outage) {
   Fleet fleet;
-  fleet.Update({PlainRecord("s1", "a"), PlainRecord("s2", "a")}, false, kNow);
-  const auto changes = fleet.Update({PlainRecord("s2", "a")}, false, kNow);
+  fleet.Update({PlainRecord("s1", "a"), PlainRecord("s2", "a")}, kNow);
+  const auto changes = fleet.Update({PlainRecord("s2", "a")}, kNow);
   BOOST_REQUIRE(changes.size() == 1U);
   BOOST_TEST((changes[0].kind == FleetChange::Kind::kRemoved));
   BOOST_TEST(fleet.Find("s1") == nullptr);
@@ -93,14 +93,37 @@
 // expired. Live upstreams are listed again within 2 s; the others are removed then.
 BOOST_AUTO_TEST_CASE(entries_missing_after_an_outage_are_kept_for_the_grace_period) {
   Fleet fleet;
-  fleet.Update({PlainRecord("s1", "a"), PlainRecord("s2", "a")}, false, kNow);
-  BOOST_TEST(fleet.Update({}, true, kNow).empty());
+  fleet.Update({PlainRecord("s1", "a"), PlainRecord("s2", "a")}, kNow);
+  const TimePoint end = kNow + Milliseconds(2000);
+  const RetentionWindow window{end, TimePoint()};
+  for (const FleetChange& change : fleet.Update({}, window, kNow)) {
+    BOOST_TEST((change.kind == FleetChange::Kind::kRetained));
+  }
   BOOST_TEST(fleet.All().size() == 2U);
-  fleet.Update({PlainRecord("s1", "a")}, false, kNow + Milliseconds(800));
+  BOOST_TEST(fleet.RetainedUpstreams() == 2U);
+  BOOST_TEST(fleet.Find("s2")->Accepts(end - Milliseconds(1)));
+  // Also if no further list is read.
+  BOOST_TEST(!fleet.Find("s2")->Accepts(end));
+  fleet.Update({PlainRecord("s1", "a")}, window, kNow + Milliseconds(800));
   BOOST_TEST(fleet.All().size() == 2U);
-  fleet.Update({PlainRecord("s1", "a")}, false, kNow + Fleet::kRelistGrace + Milliseconds(1));
+  fleet.Update({PlainRecord("s1", "a")}, window, end + Milliseconds(1));
   BOOST_TEST(fleet.All().size() == 1U);
-  BOOST_TEST(fleet.Find("s1") != nullptr);
+  BOOST_REQUIRE(fleet.Find("s1") != nullptr);
+  BOOST_TEST(fleet.Find("s1")->Accepts(end + Milliseconds(1)));
+}
+
+// Guards against a retention that is prolonged by entries that disappear later: the sum would pass
+// the leaving bound.
+BOOST_AUTO_TEST_CASE(entries_that_expire_later_do_not_prolong_the_retention_of_others) {
+  Fleet fleet;
+  fleet.Update({PlainRecord("s1", "a"), PlainRecord("s2", "a")}, kNow);
+  const TimePoint first = kNow + Milliseconds(500);
+  const TimePoint second = kNow + Milliseconds(1500);
+  fleet.Update({PlainRecord("s2", "a")}, {TimePoint(), first}, kNow);
+  fleet.Update({}, {TimePoint(), second}, kNow + Milliseconds(100));
+  BOOST_TEST(!fleet.Find("s1")->Accepts(first));
+  BOOST_TEST(fleet.Find("s2")->Accepts(first));
+  BOOST_TEST(!fleet.Find("s2")->Accepts(second));
 }
 
 // Guards against requests to an entry that outlives its process, after a crash or in a copy of the
@@ -112,16 +135,18 @@
   UpstreamRecord next = EngineRecordOf("e1", "a", "fast", std::nullopt);
   next.address = crashed.address;
   next.started_ms = 20;
-  fleet.Update({crashed}, false, kNow);
-  const auto changes = fleet.Update({next, crashed}, false, kNow + Milliseconds(500));
+  fleet.Update({crashed}, kNow);
+  const auto changes = fleet.Update({next, crashed}, kNow + Milliseconds(500));
   BOOST_TEST(changes.size() == 2U);
   BOOST_TEST(fleet.Find("e2") == nullptr);
   BOOST_REQUIRE(fleet.FindByAddress(crashed.address) != nullptr);
   BOOST_TEST(*fleet.FindByAddress(crashed.address) == "e1");
-  BOOST_TEST(fleet.Update({next, crashed}, false, kNow + Milliseconds(1000)).empty());
+  BOOST_TEST(fleet.Update({next, crashed}, kNow + Milliseconds(1000)).empty());
   // A copy that lacks the next process.
   fleet.OnStoreRestored(Milliseconds(5000), kNow + Milliseconds(1500));
-  BOOST_TEST(fleet.Update({crashed}, false, kNow + Milliseconds(1500)).empty());
+  const RetentionWindow window{kNow + Milliseconds(3500), TimePoint()};
+  const auto retained = fleet.Update({crashed}, window, kNow + Milliseconds(1500));
+  BOOST_TEST((retained.size() == 1U && retained[0].kind == FleetChange::Kind::kRetained));
   BOOST_TEST(fleet.Find("e2") == nullptr);
   BOOST_TEST(fleet.Find("e1") != nullptr);
 }
@@ -133,7 +158,7 @@
   UpstreamRecord unknown = PlainRecord("s2", "a");
   unknown.address = known.address;
   unknown.started_ms = 0;
-  fleet.Update({known, unknown}, false, kNow);
+  fleet.Update({known, unknown}, kNow);
   BOOST_TEST(fleet.All().size() == 2U);
 }
 
@@ -144,7 +169,7 @@
   restarted.started_ms = 20;
   UpstreamRecord loaded = EngineRecordOf("e2", "a", "fast", LayerRange{8, 16});
   loaded.order_sequence = 2;
-  fleet.Update({restarted, loaded}, false, kNow);
+  fleet.Update({restarted, loaded}, kNow);
   fleet.OnStoreRestored(Milliseconds(5000), kNow);
   UpstreamRecord before = restarted;
   before.started_ms = 10;
@@ -152,26 +177,29 @@
   UpstreamRecord empty = loaded;
   empty.order_sequence = 1;
   empty.layers = LayerRange{0, 4};
-  BOOST_TEST(fleet.Update({before, empty}, false, kNow + Milliseconds(500)).empty());
+  const RetentionWindow window{kNow + Milliseconds(2000), TimePoint()};
+  const auto changes = fleet.Update({before, empty}, window, kNow + Milliseconds(500));
+  BOOST_REQUIRE(changes.size() == 1U);
+  BOOST_TEST((changes[0].id == "e1" && changes[0].kind == FleetChange::Kind::kRetained));
   BOOST_TEST((fleet.Find("e1")->record == restarted));
   BOOST_TEST((fleet.Find("e2")->record == loaded));
   // A newer process counts at once.
   UpstreamRecord next = restarted;
   next.started_ms = 30;
-  fleet.Update({next, loaded}, false, kNow + Milliseconds(1000));
+  fleet.Update({next, loaded}, kNow + Milliseconds(1000));
   BOOST_TEST(fleet.Find("e1")->record.started_ms == 30);
 }
 
 // Guards against a restarted upstream that stays suspect.
 BOOST_AUTO_TEST_CASE(restart_with_the_same_id_clears_suspicion) {
   Fleet fleet;
-  fleet.Update({PlainRecord("s1", "a")}, false, kNow);
+  fleet.Update({PlainRecord("s1", "a")}, kNow);
   BOOST_TEST(fleet.Suspect("s1", Milliseconds(5000), kNow));
   BOOST_TEST(!fleet.Suspect("s1", Milliseconds(1000), kNow));  // Already suspect.
   BOOST_TEST(!fleet.Find("s1")->Usable(kNow));
   UpstreamRecord restarted = PlainRecord("s1", "a");
   restarted.started_ms = 2;
-  fleet.Update({restarted}, false, kNow);
+  fleet.Update({restarted}, kNow);
   BOOST_TEST(fleet.Find("s1")->Usable(kNow));
 }
 
@@ -179,7 +207,7 @@
   Fleet fleet;
   UpstreamRecord leaving = PlainRecord("s1", "a");
   leaving.draining = true;
-  fleet.Update({leaving, PlainRecord("s2", "b")}, false, kNow);
+  fleet.Update({leaving, PlainRecord("s2", "b")}, kNow);
   const auto random = MakeRandom(1);
   PickQuery query{"orders", "a", {}, kNow};
   for (int i = 0; i < 20; ++i) {
@@ -193,8 +221,7 @@
 // against rejections when all upstreams are suspect.
 BOOST_AUTO_TEST_CASE(suspect_upstreams_are_picked_last) {
   Fleet fleet;
-  fleet.Update({PlainRecord("s1", "a"), PlainRecord("s2", "b"), PlainRecord("s3", "b")}, false,
-               kNow);
+  fleet.Update({PlainRecord("s1", "a"), PlainRecord("s2", "b"), PlainRecord("s3", "b")}, kNow);
   fleet.Suspect("s1", Milliseconds(1000), kNow);
   const auto random = MakeRandom(1);
   PickQuery query{"orders", "a", {}, kNow};
@@ -207,7 +234,7 @@
 
 BOOST_AUTO_TEST_CASE(least_loaded_upstream_is_picked) {
   Fleet fleet;
-  fleet.Update({PlainRecord("s1", "a"), PlainRecord("s2", "a")}, false, kNow);
+  fleet.Update({PlainRecord("s1", "a"), PlainRecord("s2", "a")}, kNow);
   fleet.Reserve("s1", 0);
   fleet.Reserve("s1", 0);
   const auto random = MakeRandom(1);
@@ -222,7 +249,7 @@
 // Guards against counting the own load twice and against keeping the load of an exited instance.
 BOOST_AUTO_TEST_CASE(totals_exclude_own_load_and_expired_reports) {
   Fleet fleet;
-  fleet.Update({PlainRecord("s1", "a")}, false, kNow);
+  fleet.Update({PlainRecord("s1", "a")}, kNow);
   UpstreamNumbers numbers;
   numbers.Learn(5, "s1");
   FleetLoadTable load_table;
@@ -246,8 +273,8 @@
 BOOST_AUTO_TEST_CASE(received_suspicion_is_not_reported_again) {
   Fleet reporting;
   Fleet receiving;
-  reporting.Update({PlainRecord("s1", "a")}, false, kNow);
-  receiving.Update({PlainRecord("s1", "a")}, false, kNow);
+  reporting.Update({PlainRecord("s1", "a")}, kNow);
+  receiving.Update({PlainRecord("s1", "a")}, kNow);
   UpstreamNumbers numbers;
   numbers.Learn(5, "s1");
   reporting.MarkStopped("s1", Milliseconds(1000), kNow);
@@ -286,8 +313,8 @@
 BOOST_AUTO_TEST_CASE(full_engine_is_reported_without_being_suspect) {
   Fleet reporting;
   Fleet receiving;
-  reporting.Update({PlainRecord("s1", "a")}, false, kNow);
-  receiving.Update({PlainRecord("s1", "a")}, false, kNow);
+  reporting.Update({PlainRecord("s1", "a")}, kNow);
+  receiving.Update({PlainRecord("s1", "a")}, kNow);
   UpstreamNumbers numbers;
   numbers.Learn(5, "s1");
   int health_reports = 0;
@@ -306,8 +333,8 @@
 BOOST_AUTO_TEST_CASE(reported_progress_keeps_its_age) {
   Fleet reporting;
   Fleet receiving;
-  reporting.Update({PlainRecord("s1", "a")}, false, kNow);
-  receiving.Update({PlainRecord("s1", "a")}, false, kNow);
+  reporting.Update({PlainRecord("s1", "a")}, kNow);
+  receiving.Update({PlainRecord("s1", "a")}, kNow);
   UpstreamNumbers numbers;
   numbers.Learn(5, "s1");
   reporting.OnProgress("s1", kNow);
@@ -325,7 +352,7 @@
 // against an engine that fails the same share of streams each time it is taken back.
 BOOST_AUTO_TEST_CASE(repeated_suspicions_of_an_engine_back_off) {
   Fleet fleet;
-  fleet.Update({PlainRecord("s1", "a")}, false, kNow);
+  fleet.Update({PlainRecord("s1", "a")}, kNow);
   const auto usable = [&fleet](TimePoint now) { return fleet.Find("s1")->Usable(now); };
   const Milliseconds base(500);
   TimePoint now = kNow;
@@ -343,7 +370,7 @@
   fleet.Suspect("s1", base, now + base);
   UpstreamRecord restarted = PlainRecord("s1", "a");
   restarted.started_ms = 99;
-  fleet.Update({restarted}, false, now);
+  fleet.Update({restarted}, now);
   fleet.Suspect("s1", base, now);
   BOOST_TEST(usable(now + base));
 }
@@ -351,7 +378,7 @@
 // Guards against a backoff that ignores the suspicions reported by other instances.
 BOOST_AUTO_TEST_CASE(reported_suspicion_counts_for_backoff) {
   Fleet fleet;
-  fleet.Update({PlainRecord("s1", "a")}, false, kNow);
+  fleet.Update({PlainRecord("s1", "a")}, kNow);
   fleet.ApplySuspectReport("s1", Milliseconds(500), SuspectKind::kFailing, kNow);
   const TimePoint later = kNow + Milliseconds(600);
   fleet.Suspect("s1", Milliseconds(500), later);
@@ -361,10 +388,10 @@
 // Guards against reservations that outlive their engine and block it permanently.
 BOOST_AUTO_TEST_CASE(release_does_not_go_below_zero) {
   Fleet fleet;
-  fleet.Update({PlainRecord("s1", "a")}, false, kNow);
+  fleet.Update({PlainRecord("s1", "a")}, kNow);
   fleet.Reserve("s1", 100);
-  fleet.Update({}, false, kNow);
-  fleet.Update({PlainRecord("s1", "a")}, false, kNow);
+  fleet.Update({}, kNow);
+  fleet.Update({PlainRecord("s1", "a")}, kNow);
   fleet.Release("s1", 100);
   BOOST_TEST(fleet.Find("s1")->own_load.token_layers == 0);
   BOOST_TEST(fleet.Find("s1")->own_load.requests == 0);
--- a/tests/fleet/path_selector_test.cc
+++ b/tests/fleet/path_selector_test.cc
@@ -34,7 +34,7 @@
         }
       }
     }
-    fleet.Update(std::move(records), false, kNow);
+    fleet.Update(std::move(records), kNow);
     query.service = "model";
     query.profile = &profile;
     query.tokens = 950;
@@ -141,7 +141,7 @@
     const std::string name = "0-foreign-" + std::to_string(i);
     records.push_back(EngineRecordOf(name, name, "a100", LayerRange{0, 30}));
   }
-  f.fleet.Update(std::move(records), false, kNow);
+  f.fleet.Update(std::move(records), kNow);
   PathError error = PathError::kNoCapacity;
   std::set<std::string> domains;
   for (int i = 0; i < 50; ++i) {
@@ -276,7 +276,7 @@
                 EngineRecordOf("b1", "b", "a100s", LayerRange{10, 20}),
                 EngineRecordOf("b2", "b", "l4", LayerRange{10, 20}),
                 EngineRecordOf("c1", "c", "l4", LayerRange{10, 20})},
-               false, kNow);
+               kNow);
   PathQuery query;
   query.service = "model";
   query.profile = &profile;
@@ -324,7 +324,7 @@
     }
   }
   Fleet fleet;
-  fleet.Update(records, false, kNow);
+  fleet.Update(records, kNow);
   PathQuery query;
   query.service = "model";
   query.profile = &large.profile;
@@ -379,7 +379,7 @@
   Fleet fleet;
   fleet.Update({EngineRecordOf("quick", "a", "a100", LayerRange{0, 8}),
                 EngineRecordOf("other", "a", "l40s", LayerRange{0, 8})},
-               false, kNow);
+               kNow);
   PathQuery query;
   query.service = "model";
   query.profile = &profile;
--- a/tests/fleet/rate_share_test.cc
+++ b/tests/fleet/rate_share_test.cc
@@ -24,8 +24,7 @@
       : m_limit(limit), m_random(MakeRandom(seed)) {
     for (int i = 0; i < instances; ++i) {
       m_fleets.push_back(std::make_unique<Fleet>());
-      m_fleets.back()->Update({EngineRecordOf(kEngine, "a", "l4", LayerRange{0, 80})}, false,
-                              m_now);
+      m_fleets.back()->Update({EngineRecordOf(kEngine, "a", "l4", LayerRange{0, 80})}, m_now);
       m_numbers.push_back(static_cast<uint32_t>(i));
     }
     SetPositions();
@@ -41,8 +40,7 @@
         restart += restart_interval;
         const size_t instance = m_random->Below(m_fleets.size());
         m_fleets[instance] = std::make_unique<Fleet>();
-        m_fleets[instance]->Update({EngineRecordOf(kEngine, "a", "l4", LayerRange{0, 80})}, false,
-                                   m_now);
+        m_fleets[instance]->Update({EngineRecordOf(kEngine, "a", "l4", LayerRange{0, 80})}, m_now);
         m_known.erase(std::remove(m_known.begin(), m_known.end(), instance), m_known.end());
         std::rotate(m_numbers.begin(), m_numbers.begin() + 1, m_numbers.end());
         SetPositions();
@@ -180,7 +178,7 @@
 BOOST_AUTO_TEST_CASE(limit_ends_with_an_answer_that_states_none) {
   const TimePoint start{std::chrono::hours(1)};
   Fleet fleet;
-  fleet.Update({EngineRecordOf(kEngine, "a", "l4", LayerRange{0, 80})}, false, start);
+  fleet.Update({EngineRecordOf(kEngine, "a", "l4", LayerRange{0, 80})}, start);
   fleet.SetPosition({8, 9}, start);
   BOOST_TEST(fleet.OnRateLimit(kEngine, 1, start, start));
   const TimePoint later = start + Milliseconds(100);
@@ -197,7 +195,7 @@
   const TimePoint start{std::chrono::hours(1)};
   Fleet fleet;
   UpstreamRecord record = EngineRecordOf(kEngine, "a", "l4", LayerRange{0, 80});
-  fleet.Update({record}, false, start);
+  fleet.Update({record}, start);
   fleet.SetPosition({8, 9}, start);
   fleet.OnRateLimit(kEngine, 0, start, start);
   BOOST_TEST(!fleet.MayStart(*fleet.Find(kEngine), start + UpstreamStatements::kRateLimitTtl));
@@ -205,7 +203,7 @@
                             start + UpstreamStatements::kRateLimitTtl + Milliseconds(1)));
   fleet.OnRateLimit(kEngine, 0, start, start + Milliseconds(1));
   ++record.started_ms;
-  fleet.Update({record}, false, start + Milliseconds(2));
+  fleet.Update({record}, start + Milliseconds(2));
   BOOST_TEST(fleet.MayStart(*fleet.Find(kEngine), start + Milliseconds(2)));
 }
 
@@ -218,7 +216,7 @@
   Fleet second;
   Fleet third;
   for (Fleet* fleet : {&first, &second, &third}) {
-    fleet->Update({EngineRecordOf(kEngine, "a", "l4", LayerRange{0, 80})}, false, start);
+    fleet->Update({EngineRecordOf(kEngine, "a", "l4", LayerRange{0, 80})}, start);
   }
   first.OnRateLimit(kEngine, 12, start, start);
   second.OnRateLimit(kEngine, 10, start, start + Milliseconds(200));
--- a/tests/fleet/upstream_statements_test.cc
+++ b/tests/fleet/upstream_statements_test.cc
@@ -75,30 +75,30 @@
 BOOST_AUTO_TEST_CASE(leaving_survives_a_list_that_says_ready) {
   Fleet fleet;
   const UpstreamRecord ready = Engine();
-  fleet.Update({ready}, false, kNow);
+  fleet.Update({ready}, kNow);
   fleet.OnLeaving("e1", kNow);
-  fleet.Update({ready}, false, kNow + Milliseconds(500));
+  fleet.Update({ready}, kNow + Milliseconds(500));
   BOOST_TEST(!fleet.Find("e1")->Usable(kNow + Milliseconds(500)));
   // The entry is missing for a moment.
-  fleet.Update({}, false, kNow + Milliseconds(1000));
-  fleet.Update({ready}, false, kNow + Milliseconds(1500));
+  fleet.Update({}, kNow + Milliseconds(1000));
+  fleet.Update({ready}, kNow + Milliseconds(1500));
   BOOST_TEST(!fleet.Find("e1")->Usable(kNow + Milliseconds(1500)));
 }
 
 BOOST_AUTO_TEST_CASE(leaving_ends_with_the_process) {
   Fleet fleet;
   UpstreamRecord record = Engine();
-  fleet.Update({record}, false, kNow);
+  fleet.Update({record}, kNow);
   fleet.OnLeaving("e1", kNow);
   ++record.started_ms;
-  fleet.Update({record}, false, kNow + Milliseconds(500));
+  fleet.Update({record}, kNow + Milliseconds(500));
   BOOST_TEST(fleet.Find("e1")->Usable(kNow + Milliseconds(500)));
 }
 
 // Guards against a false statement that takes an upstream away for good.
 BOOST_AUTO_TEST_CASE(leaving_expires) {
   Fleet fleet;
-  fleet.Update({Engine()}, false, kNow);
+  fleet.Update({Engine()}, kNow);
   fleet.OnLeaving("e1", kNow);
   BOOST_TEST(fleet.Find("e1")->Usable(kNow + UpstreamStatements::kLeavingTtl));
 }
@@ -112,9 +112,9 @@
   Fleet restarted;  // Knows the next process under the ID already.
   UpstreamRecord next = Engine();
   ++next.started_ms;
-  heard.Update({Engine()}, false, kNow);
-  told.Update({Engine()}, false, kNow);
-  restarted.Update({next}, false, kNow);
+  heard.Update({Engine()}, kNow);
+  told.Update({Engine()}, kNow);
+  restarted.Update({next}, kNow);
   int reports = 0;
   heard.SetHealthReportListener([&reports] { ++reports; });
   std::vector<StatementChange> changes;
@@ -154,8 +154,8 @@
   numbers.Learn(5, "e1");
   Fleet heard;
   Fleet told;
-  heard.Update({Engine()}, false, kNow);
-  told.Update({Engine()}, false, kNow);
+  heard.Update({Engine()}, kNow);
+  told.Update({Engine()}, kNow);
   heard.OnClosed("e1", Milliseconds(1000), kNow);
   FleetLoadTable table;
   table.SetReport(1, BuildLoadReport(heard, numbers, 1, kNow), kNow);
@@ -176,7 +176,7 @@
 
 BOOST_AUTO_TEST_CASE(closing_is_bounded) {
   Fleet fleet;
-  fleet.Update({Engine()}, false, kNow);
+  fleet.Update({Engine()}, kNow);
   fleet.OnClosed("e1", Milliseconds(86400000), kNow);
   BOOST_TEST(fleet.Find("e1")->Usable(kNow + UpstreamStatements::kMaxClosedTime));
 }
@@ -190,7 +190,7 @@
     records.push_back(EngineRecordOf(id, "a", "fast", low ? LayerRange{0, 8} : LayerRange{8, 16}));
   }
   records.back().layers.reset();
-  fleet.Update(records, false, kNow);
+  fleet.Update(records, kNow);
   fleet.OnClosed("low0", Milliseconds(300), kNow);
   BOOST_TEST((fleet.StartDelay("model", kNow) == Milliseconds(0)));
   fleet.OnClosed("low1", Milliseconds(500), kNow);
--- a/tests/forward/engine_exit_checker_test.cc
+++ b/tests/forward/engine_exit_checker_test.cc
@@ -33,7 +33,7 @@
       records.push_back(upstream.record);
       records.back().draining = other == id;
     }
-    fleet.Update(std::move(records), false, loop.Now());
+    fleet.Update(std::move(records), loop.Now());
   }
 };
 
@@ -119,7 +119,7 @@
 BOOST_AUTO_TEST_CASE(process_that_is_no_longer_listed_is_asked) {
   Fixture f;
   const UpstreamProcess process = f.Process("low0");
-  f.fleet.Update({}, false, f.loop.Now());
+  f.fleet.Update({}, f.loop.Now());
   BOOST_TEST(f.Whole(process));
   f.loop.Advance(Milliseconds(1));
   f.engines.silent = true;
--- a/tests/forward/prompt_crash_test.cc
+++ b/tests/forward/prompt_crash_test.cc
@@ -45,7 +45,7 @@
       records.push_back(upstream.record);
       records.back().started_ms += other == id ? 1 : 0;
     }
-    fleet.Update(std::move(records), false, loop.Now());
+    fleet.Update(std::move(records), loop.Now());
   }
 
   int crashes = 0;
--- a/tests/forward/request_crash_test.cc
+++ b/tests/forward/request_crash_test.cc
@@ -48,7 +48,7 @@
       records.push_back(upstream.record);
       records.back().started_ms += other == id ? 1 : 0;
     }
-    fleet.Update(std::move(records), false, loop.Now());
+    fleet.Update(std::move(records), loop.Now());
   }
   // Repeats the bad request, and sends a sound one each time. Returns how often the bad one reached
   // upstreams later than 3 s after the third exit.
--- a/tests/forward/stream_exchange_test.cc
+++ b/tests/forward/stream_exchange_test.cc
@@ -481,7 +481,7 @@
   for (const char* const id : {"low0", "high0"}) {
     records.push_back(f.fleet.Find(id)->record);
   }
-  f.fleet.Update(std::move(records), false, f.loop.Now());
+  f.fleet.Update(std::move(records), f.loop.Now());
   const auto exchange = f.Start("/stream/1");
   BOOST_TEST((f.Call(0).options.max_idle > Milliseconds(0)));
   f.fleet.OnProgress("low0", f.loop.Now());
--- a/tests/placement/layout_controller_test.cc
+++ b/tests/placement/layout_controller_test.cc
@@ -97,7 +97,7 @@
     for (UpstreamRecord& record : records) {
       record.layers = engines.m_reports[record.address].layers;
     }
-    fleet.Update(records, false, loop.Now());
+    fleet.Update(records, loop.Now());
   }
   void Run(int ms) {
     for (int i = 0; i < ms; i += 50) {
@@ -136,7 +136,7 @@
 BOOST_AUTO_TEST_CASE(first_layout_is_planned_for_the_complete_list) {
   Fixture f;
   const std::vector<UpstreamRecord> all = f.records;
-  f.fleet.Update({}, false, f.loop.Now());
+  f.fleet.Update({}, f.loop.Now());
   for (size_t listed = 5; listed <= all.size(); listed += 7) {
     f.records.assign(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(listed));
     f.PublishList();
--- a/tests/support/fake_gateway.h
+++ b/tests/support/fake_gateway.h
@@ -277,7 +277,7 @@
       records.back().service = "orders";
       records.back().slots = 6;
     }
-    fleet.Update(std::move(records), false, loop.Now());
+    fleet.Update(std::move(records), loop.Now());
     context.loop = &loop;
     context.client = &client;
     context.routes = &routes;
--- a/tests/sync/sync_sessions_test.cc
+++ b/tests/sync/sync_sessions_test.cc
@@ -8,33 +8,11 @@
 #include <vector>
 
 #include "azuregw/peer/frame_decoder.h"
-#include "tests/support/fake_async_store.h"
-#include "tests/support/fake_log.h"
-#include "tests/support/fake_loop.h"
-#include "tests/support/text_codec.h"
+#include "tests/support/sync_instance.h"
 
 namespace azuregw {
 namespace {
 
-// Objects of one instance. All instances share the clock and the store.
-struct Instance {
-  Instance(FakeLoop* loop, FakeAsyncStore* store)
-      : watcher(loop, store, &codec, &table, &retry, &log),
-        lister(loop, store, &codec, &fleet, &retry, &log),
-        state{loop, &fleet, &watcher, &lister, &quarantine, store->Era()} {}
-
-  FakeLog log;
-  TextCodec codec;
-  RouteTable table{Milliseconds(3500)};
-  std::unique_ptr<Random> random = MakeRandom(7);
-  StoreRetry retry{random.get()};
-  Fleet fleet;
-  ConfigWatcher watcher;
-  UpstreamLister lister;
-  PromptQuarantine quarantine;
-  SharedState state;
-};
-
 // A leader and one follower. Messages are delivered without delay unless a test delays them.
 struct Fixture {
   Fixture() {
@@ -61,8 +39,8 @@
 
   FakeLoop loop;
   FakeAsyncStore store{&loop};
-  Instance leader{&loop, &store};
-  Instance follower{&loop, &store};
+  SyncInstance leader{&loop, &store};
+  SyncInstance follower{&loop, &store};
   LeaderSession leader_session{leader.state, "i1", 0.25};
   FollowerSession follower_session{follower.state, "i2", 0.5};
   FollowerState follower_state;
@@ -78,8 +56,8 @@
   FakeAsyncStore store{&loop};
   store.Put("up/e1", "ready");
   FakeAsyncStore follower_store{&loop};  // A view of the same store, to count the calls.
-  Instance leader{&loop, &store};
-  Instance follower{&loop, &follower_store};
+  SyncInstance leader{&loop, &store};
+  SyncInstance follower{&loop, &follower_store};
   LeaderSession leader_session{leader.state, "i1", 0.25};
   FollowerSession follower_session{follower.state, "i2", 0.5};
   FollowerState follower_state;
@@ -115,7 +93,7 @@
 BOOST_AUTO_TEST_CASE(large_configuration_is_read_from_the_store) {
   Fixture f;
   FakeAsyncStore follower_store{&f.loop};
-  Instance reader{&f.loop, &follower_store};
+  SyncInstance reader{&f.loop, &follower_store};
   FollowerSession reader_session{reader.state, "i3", 0.5};
   FollowerState reader_state;
   // A version with leading zeros stands for a large document.
@@ -163,7 +141,7 @@
   f.ExchangeFor(Milliseconds(6000));
   // Watches and lists of the leader alone in 6 s.
   const int own = 6000 / static_cast<int>(ConfigWatcher::kRelayingWatchWait.count()) +
-                  6000 / static_cast<int>(UpstreamLister::kRelayingInterval.count());
+                  6000 / static_cast<int>(RemovalBounds({}).ListInterval(true).count());
   BOOST_TEST(f.store.m_calls - before <= own + 2);
   BOOST_TEST((*f.follower.table.Age(f.loop.Now()) < Milliseconds(1000)));
   BOOST_TEST((*f.follower.lister.Age() < Milliseconds(1000)));
@@ -231,7 +209,7 @@
 // s after they said that they leave). The own call must begin early enough for it.
 BOOST_AUTO_TEST_CASE(follower_with_a_large_bound_reads_the_list_early) {
   Fixture f;
-  f.follower.lister.SetLeavingBound(Milliseconds(4000));
+  f.follower.lister.SetBounds(RemovalBounds({Milliseconds(4000)}));
   f.follower.watcher.Start();
   f.follower.lister.Start();
   f.ExchangeFor(Milliseconds(3000));
@@ -320,7 +298,7 @@
 // inc1). Guards against evidence that stays with one instance, and against resending it for ever.
 BOOST_AUTO_TEST_CASE(evidence_of_all_instances_is_pooled) {
   Fixture f;
-  Instance other{&f.loop, &f.store};
+  SyncInstance other{&f.loop, &f.store};
   FollowerSession other_session{other.state, "i3", 0.5};
   FollowerState other_state;
   const auto exchange = [&] {
@@ -339,14 +317,14 @@
     }
   }
   exchange();
-  for (Instance* instance : {&f.leader, &f.follower, &other}) {
+  for (SyncInstance* instance : {&f.leader, &f.follower, &other}) {
     BOOST_TEST(instance->quarantine.Quarantined(f.loop.Now())[42] == process);
   }
   exchange();
   BOOST_TEST(f.follower_session.BuildReport().prompt_evidence.crashes.empty());
   BOOST_TEST(f.leader_session.UpdateFor(&f.follower_state, true).prompt_evidence.crashes.empty());
   // An instance that restarts has the evidence after its first exchange.
-  Instance restarted{&f.loop, &f.store};
+  SyncInstance restarted{&f.loop, &f.store};
   FollowerSession restarted_session{restarted.state, "i4", 0.5};
   FollowerState restarted_state;
   f.leader_session.OnReport(restarted_session.BuildReport(), &restarted_state);
@@ -363,7 +341,7 @@
     f.loop.Advance(Milliseconds(50));
   }
   f.Exchange();
-  Instance next{&f.loop, &f.store};
+  SyncInstance next{&f.loop, &f.store};
   LeaderSession next_session{next.state, "i9", 0.25};
   FollowerSession session{f.follower.state, "i2", 0.5};
   FollowerState state;
@@ -464,8 +442,8 @@
   FakeLoop loop;
   FakeAsyncStore store{&loop};
   FakeAsyncStore follower_store{&loop};
-  Instance leader{&loop, &store};
-  Instance follower{&loop, &follower_store};
+  SyncInstance leader{&loop, &store};
+  SyncInstance follower{&loop, &follower_store};
   LeaderSession leader_session{leader.state, "i1", 0.25};
   FollowerSession follower_session{follower.state, "i2", 0.5};
   FollowerState follower_state;
