Relay no upstream entries that are retained

An engine that had left was used again by instances that had dropped it.

Cause: a leader that is cut off from a sound store sees its calls fail and retains what is missing when it is back. It relayed these entries like listed ones, with a fresh confirmation, so that followers took them in again.

Change: UpstreamHistory leaves retained entries out. Followers retain by their own evidence, so an outage that all have seen costs no engine under any leader.

--- a/src/sync/upstream_relay.cc
+++ b/src/sync/upstream_relay.cc
@@ -10,7 +10,12 @@
 bool UpstreamHistory::Update(const Fleet& fleet) {
   const uint64_t next = m_version + 1;
   bool changed = m_version == 0;
+  // Retained entries are left out: each instance decides by its own evidence what it retains. A
+  // leader that was cut off from a sound store would else bring back upstreams that have left.
   for (const auto& [id, upstream] : fleet.All()) {
+    if (upstream.retained_until) {
+      continue;
+    }
     const std::optional<UpstreamNumber> number = m_numbers.Assign(id);
     if (!number) {
       return false;
@@ -22,7 +27,8 @@
     }
   }
   for (auto& [number, entry] : m_entries) {
-    if (entry.present && fleet.Find(entry.record.id) == nullptr) {
+    const Upstream* const upstream = fleet.Find(entry.record.id);
+    if (entry.present && (upstream == nullptr || upstream->retained_until)) {
       entry.present = false;
       entry.changed_version = next;
       changed = true;
--- a/tests/sync/upstream_removal_test.cc
+++ b/tests/sync/upstream_removal_test.cc
@@ -142,6 +142,25 @@
   }
 }
 
+// Guards against an upstream that has left and is used again: a leader that was cut off from a
+// sound store retained its entry and relayed it as a listed one.
+BOOST_AUTO_TEST_CASE(leader_that_was_cut_off_brings_no_upstream_back) {
+  for (const int cut : {2100, 2600, 3500, 5000}) {
+    Fleets f({Milliseconds(3000)});
+    f.leader_view.m_down = true;
+    f.Run(Milliseconds(200));
+    f.Remove("up/e0");
+    const TimePoint removed = f.loop.Now();
+    f.Run(Milliseconds(cut - 200));
+    f.leader_view.m_down = false;
+    while (f.loop.Now() < removed + Milliseconds(9000)) {
+      f.Run(Milliseconds(50));
+      const bool late = f.loop.Now() >= removed + Milliseconds(3000);
+      BOOST_TEST(!(late && f.FollowerUses("e0")), "cut " << cut);
+    }
+  }
+}
+
 // Guards against a failed call from before the last list that counts as evidence of an outage when
 // the leader is lost a minute later.
 BOOST_AUTO_TEST_CASE(earlier_failed_call_is_no_evidence) {
