Use entries that come back late after a restore

Callers: none reported; found by reading. A live engine whose entry came back more than 2 s after a restore of the store got no requests for another 3.6 s.

Cause: the entry had been removed when the retention ended, and Reconcile() takes an entry of a removed process for one of the copy, also if the removal came after the restore. An entry that was missing and is back was written by its engine.

Change: only removals from before the first sign of the restore count.

--- a/include/azuregw/fleet/fleet.h
+++ b/include/azuregw/fleet/fleet.h
@@ -317,6 +317,7 @@
   std::shared_ptr<const RoutingConfig> m_config;
   std::map<std::string, Upstream> m_upstreams;
   std::map<std::string, RemovedProcess> m_removed;  // By ID.
+  TimePoint m_restored_at;                          // First sign of the last restore of the store.
   TimePoint m_reconcile_until;                      // Lists may contain entries of the copy.
   bool m_reconciling = false;  // The last list was applied before m_reconcile_until.
   LinkLoad m_links;
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -22,13 +22,16 @@
 }  // namespace
 
 void Fleet::OnStoreRestored(Milliseconds entry_ttl, TimePoint now) {
+  m_restored_at = now;
   m_reconcile_until = now + entry_ttl;
   m_reconciling = true;
 }
 
 bool Fleet::Reconcile(UpstreamRecord* record) const {
   const auto removed = m_removed.find(record->id);
-  if (removed != m_removed.end() && record->started_ms <= removed->second.started_ms) {
+  // An entry that was missing since the restore and is back was written by its upstream.
+  if (removed != m_removed.end() && removed->second.removed_at <= m_restored_at &&
+      record->started_ms <= removed->second.started_ms) {
     return false;
   }
   const auto known = m_upstreams.find(record->id);
--- a/tests/fleet/fleet_test.cc
+++ b/tests/fleet/fleet_test.cc
@@ -126,6 +126,20 @@
   BOOST_TEST(!fleet.Find("s2")->Accepts(second));
 }
 
+// Guards against a live upstream that stays dropped after a restore: its entry came back after the
+// grace period, and its removal counted as one from before the restore.
+BOOST_AUTO_TEST_CASE(entry_that_comes_back_late_after_a_restore_is_used) {
+  Fleet fleet;
+  UpstreamRecord record = PlainRecord("s1", "a");
+  record.started_ms = 10;
+  fleet.Update({record}, kNow);
+  fleet.OnStoreRestored(Milliseconds(5000), kNow);
+  fleet.Update({}, kNow + Milliseconds(2100));
+  BOOST_TEST(fleet.Find("s1") == nullptr);
+  fleet.Update({record}, kNow + Milliseconds(2300));
+  BOOST_TEST(fleet.Find("s1") != nullptr);
+}
+
 // Guards against requests to an entry that outlives its process, after a crash or in a copy of the
 // store, while the next process runs at its address under another ID.
 BOOST_AUTO_TEST_CASE(entry_does_not_outlive_the_next_process_at_its_address) {
