Refuse heads that leave the length of their body open

Cause: the library's parser takes a request whose last coding is not `chunked` for one without a body; nothing checked the field before the request was passed on. A coding with a length, and several equal lengths, passed as well.

Change: BodyLengthAmbiguity() accepts one length, or `chunked` alone, or none. Callers get 400 and a closed connection, answers are protocol errors.

--- a/src/forward/caller_listener.cc
+++ b/src/forward/caller_listener.cc
@@ -27,6 +27,7 @@
 
 #include "azuregw/admission/receive_budget.h"
 #include "azuregw/forward/transfer_limits.h"
+#include "azuregw/net/body_framing.h"
 #include "azuregw/net/endpoint.h"
 #include "forward/exchange_base.h"
 
@@ -127,6 +128,9 @@
   size_t PutBytes(error_code* error);
   // Handles the end of the head while the body is incomplete.
   void OnHead();
+  // Returns whether the head, if it is complete, tells where the body ends; otherwise rejects the
+  // request.
+  bool CheckBodyLength();
   // Returns whether the request is within the limits so far; otherwise rejects it.
   bool CheckFraming();
   // Rejects a request that the parser or its buffer cannot take.
@@ -509,6 +513,9 @@
     OnParseError(error);
     return;
   }
+  if (!CheckBodyLength()) {
+    return;
+  }
   if (m_parser->is_done()) {
     Dispatch();
     return;
@@ -552,6 +559,20 @@
   }
 }
 
+bool CallerConnection::CheckBodyLength() {
+  if (m_head_read || !m_parser->is_header_done()) {
+    return true;
+  }
+  const auto& head = m_parser->get();
+  const std::string_view ambiguity = BodyLengthAmbiguity(head.base(), head.version());
+  if (ambiguity.empty()) {
+    return true;
+  }
+  Reject(400, ResultCode::kInvalidField, "body_length",
+         "the head states " + std::string(ambiguity));
+  return false;
+}
+
 bool CallerConnection::CheckFraming() {
   if (!m_head_read) {
     if (m_buffer.size() < m_buffer.max_size()) {
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -22,6 +22,8 @@
 #include <utility>
 #include <vector>
 
+#include "azuregw/net/body_framing.h"
+
 namespace azuregw {
 namespace {
 
@@ -313,7 +315,13 @@
                   error != http::error::end_of_stream);
           return;
         }
-        const int status = static_cast<int>(self->m_parser->get().result_int());
+        const auto& head = self->m_parser->get();
+        const std::string_view ambiguity = BodyLengthAmbiguity(head.base(), head.version());
+        if (!ambiguity.empty()) {
+          self->Fail("the head states " + std::string(ambiguity), true);
+          return;
+        }
+        const int status = static_cast<int>(head.result_int());
         if (status < kMinInterimStatus || status > kMaxFinalStatus ||
             status == kSwitchingProtocols) {
           self->Fail("the status " + std::to_string(status) + " is invalid", true);
--- a/src/net/status_server.cc
+++ b/src/net/status_server.cc
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <utility>
 
+#include "azuregw/net/body_framing.h"
 #include "azuregw/net/endpoint.h"
 
 namespace azuregw {
@@ -46,12 +47,14 @@
       }
     });
     m_request = {};
-    http::async_read(m_socket, m_buffer, m_request,
-                     [self = shared_from_this()](error_code error, size_t) {
-                       if (!error) {
-                         self->Reply();
-                       }
-                     });
+    http::async_read(
+        m_socket, m_buffer, m_request, [self = shared_from_this()](error_code error, size_t) {
+          const auto& request = self->m_request;
+          // An ambiguous request ends its connection with the last reference.
+          if (!error && BodyLengthAmbiguity(request.base(), request.version()).empty()) {
+            self->Reply();
+          }
+        });
   }
 
  private:
--- a/tests/forward/caller_listener_test.cc
+++ b/tests/forward/caller_listener_test.cc
@@ -218,6 +218,60 @@
   BOOST_TEST(f.client.calls.empty());
 }
 
+// Guards against an order that runs without its body, and one inside that body that runs as a
+// request of its own: a coding that the library does not know was taken for an empty body.
+BOOST_AUTO_TEST_CASE(request_inside_a_body_of_unknown_length_does_not_run) {
+  const std::string inner = "POST /order/2 HTTP/1.1\r\nHost: h\r\nId: r2\r\nKey: k\r\n\r\n";
+  for (const char* fields :
+       {"Transfer-Encoding: gzip", "Transfer-Encoding: xchunked",
+        "Transfer-Encoding: chunked, gzip", "Transfer-Encoding: gzip\r\nContent-Length: 2",
+        "Transfer-Encoding:", "Transfer-Encoding: \"chunked\"",
+        "Transfer-Encoding: gzip\r\nTransfer-Encoding: identity",
+        "Content-Length: 0\r\nContent-Length: 0", "Content-Length: 0, 0"}) {
+    for (const bool in_pieces : {false, true}) {
+      Fixture f;
+      Caller caller(f.Port());
+      const std::string head = "POST /order/1 HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: k\r\n" +
+                               std::string(fields) + "\r\n\r\n";
+      if (in_pieces) {
+        caller.Send(head);
+        f.io.restart();
+        f.io.run_for(Milliseconds(5));
+        caller.Send(inner);
+      } else {
+        caller.Send(head + inner);
+      }
+      BOOST_TEST(f.Until([&] {
+        caller.Received();
+        return caller.ended;
+      }),
+                 fields);
+      const std::string received = caller.Received();
+      BOOST_TEST(received.find("HTTP/1.1 400 ") == 0U, fields);
+      BOOST_TEST(received.find("HTTP/1.1 ", 1) == std::string::npos, fields);
+      BOOST_TEST(f.client.calls.empty(), fields);
+    }
+  }
+}
+
+// Guards against a length that is stated behind the body, in a trailer.
+BOOST_AUTO_TEST_CASE(trailers_state_no_length) {
+  for (const char* trailer : {"Content-Length: 3", "Transfer-Encoding: gzip"}) {
+    Fixture f;
+    Caller caller(f.Port());
+    caller.Send(
+        "POST /order/1 HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: k\r\nTransfer-Encoding: chunked\r\n"
+        "\r\n2\r\nhi\r\n0\r\n" +
+        std::string(trailer) + "\r\n\r\n");
+    BOOST_TEST(f.Until([&] { return !caller.Received().empty() || !f.client.calls.empty(); }));
+    for (size_t i = 0; i < f.client.calls.size(); ++i) {
+      BOOST_TEST(f.Call(i).request.body() == "hi");
+      BOOST_TEST(f.Call(i).request.count(boost::beast::http::field::transfer_encoding) == 0U);
+      BOOST_TEST(f.Call(i).request["Content-Length"] == "2");
+    }
+  }
+}
+
 // Draining must not truncate responses, and must announce the end of the connection to the caller.
 BOOST_AUTO_TEST_CASE(draining_closes_connections_after_their_response) {
   Fixture f;
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -278,6 +278,25 @@
   BOOST_TEST(used.client->IdleConnections() == 1U);  // That of the second call.
 }
 
+// Guards against an answer that is cut short or continued, because its head leaves open where its
+// body ends.
+BOOST_AUTO_TEST_CASE(answer_of_unknown_length_is_refused) {
+  for (const char* fields : {"Transfer-Encoding: gzip", "Transfer-Encoding: chunked, gzip",
+                             "Transfer-Encoding: gzip\r\nContent-Length: 2",
+                             "Content-Length: 2\r\nContent-Length: 2", "Content-Length: 2, 2"}) {
+    Fixture f([fields](size_t, const std::string&) {
+      return Raw("HTTP/1.1 200 OK\r\n" + std::string(fields) + "\r\n\r\nhi");
+    });
+    Recorder recorder;
+    f.Run(&recorder);
+    BOOST_REQUIRE(recorder.failure.has_value());
+    BOOST_TEST(recorder.failure->protocol_error, fields);
+    BOOST_TEST(recorder.failure->maybe_sent);
+    BOOST_TEST(recorder.body.empty());
+    BOOST_TEST(f.client->IdleConnections() == 0U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(chunked_bodies_are_passed_on_decoded) {
   Fixture f([](size_t, const std::string&) {
     return Raw(
--- a/tests/net/status_server_test.cc
+++ b/tests/net/status_server_test.cc
@@ -50,7 +50,9 @@
   const std::string begin = "GET / HTTP/1.1\r\nHost: h\r\n";
   for (const std::string& request :
        {begin + "X-A: " + std::string(1 << 20, 'a') + "\r\n\r\n",
-        begin + "Content-Length: 99999999999\r\n\r\n", std::string(1 << 20, 'j')}) {
+        begin + "Content-Length: 99999999999\r\n\r\n", std::string(1 << 20, 'j'),
+        begin + "Transfer-Encoding: gzip\r\n\r\n",
+        begin + "Content-Length: 0\r\nContent-Length: 0\r\n\r\n"}) {
     BOOST_TEST(Ask(endpoint, request).find("200") == std::string::npos);
   }
   const std::string answer = Ask(endpoint, begin + "Connection: close\r\n\r\n");
