Make room for callers by what connections do now

Callers: behind a crowd of 7,500 connections that sent one refused request each and stayed, 175 to 195 of 200 orders that came 40 at once got no answer.

Cause: a new connection displaced one that never had a complete request, and any complete request protected a connection for ever. So each new caller displaced the one before it, which had not been read yet.

Change: the connection that has waited for its caller for the longest time goes, whatever it did before; none whose request is being served.

--- a/include/azuregw/admission/receive_budget.h
+++ b/include/azuregw/admission/receive_budget.h
@@ -4,7 +4,9 @@
 // bodies of legal size, stop short of the end and stay, or do not read their responses. Each
 // request is legal, all together exceed the memory of the machine. The budget is shared by all
 // connections. When it is used up, unfinished requests that make the least progress are rejected
-// first; a complete request is never rejected for it.
+// first; a complete request is never rejected for it. Others send one whole request each, get an
+// error and stay: connections are closed by what they do now, and a request that was complete once
+// does not protect them.
 //
 // Decision module: no I/O, single-threaded. Calls for connections that were removed have no effect.
 
@@ -61,8 +63,8 @@
 
   explicit ReceiveBudget(Limits limits) : m_limits(limits) {}
 
-  // Adds a connection. Returns the connection to close in exchange, which is `id` itself if no
-  // other one waits for its caller; nullopt if there is room.
+  // Adds a connection. Returns the connection to close in exchange, the one that has waited for its
+  // caller for the longest time, or `id` itself if no other one waits; nullopt if there is room.
   std::optional<ConnectionId> Add(ConnectionId id, TimePoint now);
   void Remove(ConnectionId id);
 
@@ -90,7 +92,6 @@
  private:
   struct Connection {
     Phase phase = Phase::kIdle;
-    bool has_served = false;  // A request was complete on this connection.
     uint64_t held = 0;
     uint64_t unsent = 0;
     uint64_t steps = 0;     // Steps of kProgressBytes of the current request.
--- a/src/admission/receive_budget.cc
+++ b/src/admission/receive_budget.cc
@@ -24,16 +24,12 @@
   if (m_connections.size() <= m_limits.connections) {
     return std::nullopt;
   }
-  // Connections that never had a complete request first, then those that wait for the longest time.
-  const auto rank = [](const Connection& connection) {
-    return std::make_tuple(connection.has_served, connection.progress_at);
-  };
   ConnectionId victim = id;
-  std::optional<std::tuple<bool, TimePoint>> lowest;
+  TimePoint longest = TimePoint::max();
   for (const auto& [other, connection] : m_connections) {
     const bool waits_for_caller = connection.phase != Phase::kServing || connection.unsent > 0;
-    if (other != id && waits_for_caller && (!lowest || rank(connection) < *lowest)) {
-      lowest = rank(connection);
+    if (other != id && waits_for_caller && connection.progress_at < longest) {
+      longest = connection.progress_at;
       victim = other;
     }
   }
@@ -55,7 +51,6 @@
   }
   Connection& connection = found->second;
   connection.phase = phase;
-  connection.has_served |= phase == Phase::kServing;
   connection.steps = 0;
   connection.progress_at = now;
 }
--- a/tests/admission/receive_budget_test.cc
+++ b/tests/admission/receive_budget_test.cc
@@ -151,6 +151,44 @@
   BOOST_TEST((f.budget.Add(100, f.At(400)) == std::optional<uint64_t>(3)));
 }
 
+// Load pattern: a crowd takes all connections with one whole request each, which is refused, and
+// stays. Guards against new callers that make room for each other while the crowd keeps its
+// connections.
+BOOST_AUTO_TEST_CASE(crowd_that_was_answered_once_makes_room_for_new_callers) {
+  Fixture f;
+  for (uint64_t id = 0; id < 100; ++id) {
+    f.budget.Add(id, f.At(0));
+    f.budget.SetPhase(id, Phase::kReceiving, f.At(1));
+    f.budget.SetPhase(id, Phase::kServing, f.At(2));
+    f.budget.SetPhase(id, Phase::kIdle, f.At(3));
+  }
+  // Forty callers at once, whose requests have not been read yet.
+  for (uint64_t id = 100; id < 140; ++id) {
+    const auto closed = f.budget.Add(id, f.At(1000));
+    BOOST_REQUIRE(closed.has_value());
+    BOOST_TEST(*closed < 100U);
+    f.budget.Remove(*closed);
+  }
+}
+
+// A connection that is in use goes after one that has been silent for longer, whichever of them had
+// a request before.
+BOOST_AUTO_TEST_CASE(silent_connections_make_room_before_those_in_use) {
+  Fixture f;
+  for (uint64_t id = 0; id < 100; ++id) {
+    f.budget.Add(id, f.At(static_cast<int64_t>(10 * id)));
+  }
+  f.budget.SetPhase(0, Phase::kServing, f.At(1100));
+  f.budget.SetPhase(0, Phase::kIdle, f.At(1200));
+  f.budget.SetPhase(1, Phase::kReceiving, f.At(1150));
+  for (uint64_t id = 100; id < 198; ++id) {
+    const auto closed = f.budget.Add(id, f.At(2000));
+    BOOST_TEST((closed == std::optional<uint64_t>(id - 98)));
+    f.budget.Remove(closed.value_or(0));
+  }
+  BOOST_TEST((f.budget.Add(198, f.At(2000)) == std::optional<uint64_t>(1)));
+}
+
 BOOST_AUTO_TEST_CASE(connection_is_rejected_while_all_others_are_served) {
   Fixture f;
   for (uint64_t id = 0; id < 100; ++id) {
