Count parsed heads with the memory that they take

Cause: the budget for callers counted a head by its bytes on the wire. The library keeps each field in a node of its own, and the copy of the fields for an upstream was not counted.

The largest body, and the memory without which an instance does not start, follow from the largest head. Answers have at most 512 fields.

--- a/include/azuregw/forward/transfer_limits.h
+++ b/include/azuregw/forward/transfer_limits.h
@@ -31,6 +31,9 @@
 // Bytes that wait for a caller beyond which its connection is reset. A fault of this program, since
 // the upstream is no longer read long before.
 constexpr size_t kMaxUnsentBytes = size_t{1} << 20;
+// Largest head of a request, whatever the configuration allows. The library cannot store longer
+// field values.
+constexpr uint32_t kMaxRequestHeadBytes = 65000;
 // Largest head of a response from an upstream.
 constexpr size_t kMaxResponseHeadBytes = size_t{32} << 10;
 
--- a/src/forward/caller_listener.cc
+++ b/src/forward/caller_listener.cc
@@ -29,6 +29,7 @@
 #include "azuregw/forward/transfer_limits.h"
 #include "azuregw/net/body_framing.h"
 #include "azuregw/net/endpoint.h"
+#include "azuregw/net/head_memory.h"
 #include "forward/exchange_base.h"
 
 namespace azuregw {
@@ -50,10 +51,6 @@
 // Bytes read at once, before and after the end of the head. Usual requests fit into the first.
 constexpr size_t kHeadReadBytes = 2048;
 constexpr size_t kBodyReadBytes = 16384;
-// Largest head, whatever the configuration allows. The library cannot store longer field values.
-constexpr uint32_t kMaxHeadBytes = 65000;
-// What a request takes beside its body: the head in the buffer and parsed, and one read.
-constexpr uint64_t kRequestOverheadBytes = uint64_t{2} * kMaxHeadBytes + kBodyReadBytes;
 // Buffers up to this size stay with an idle connection.
 constexpr size_t kIdleBufferBytes = 4096;
 // Limit of chunk headers, extensions and trailers, as a multiple of the body that they carry, or in
@@ -179,11 +176,12 @@
 
   // ---- Request that is being received ----
   bool m_receiving = false;
-  bool m_reading = false;     // A read is pending, which uses `m_buffer`.
-  bool m_head_read = false;   // The head is complete.
-  bool m_discarding = false;  // The request was rejected; the rest of it is discarded.
-  uint64_t m_received = 0;    // Bytes of the request so far; of discarded ones after that.
-  uint64_t m_head_bytes = 0;  // Bytes of the head.
+  bool m_reading = false;      // A read is pending, which uses `m_buffer`.
+  bool m_head_read = false;    // The head is complete.
+  bool m_discarding = false;   // The request was rejected; the rest of it is discarded.
+  uint64_t m_received = 0;     // Bytes of the request so far; of discarded ones after that.
+  uint64_t m_head_bytes = 0;   // Bytes of the head.
+  uint64_t m_head_memory = 0;  // Memory of the parsed head.
   // Limit of the head, and of a chunk header with its extensions or all trailers, which the parser
   // takes only as a whole.
   uint32_t m_max_head_bytes = 0;
@@ -348,9 +346,12 @@
   } else {
     limits.idle_timeout = kDefaultIdleTimeout;
   }
-  limits.max_header_bytes = std::min(limits.max_header_bytes, kMaxHeadBytes);
+  limits.max_header_bytes = std::min(limits.max_header_bytes, kMaxRequestHeadBytes);
+  // What a request takes beside its body: the head in the buffer and parsed, and one read.
+  const uint64_t overhead =
+      limits.max_header_bytes + MaxHeadMemoryBytes(limits.max_header_bytes) + kBodyReadBytes;
   limits.max_body_bytes =
-      std::min(limits.max_body_bytes, m_state->budget.LargestRequest() - kRequestOverheadBytes);
+      std::min(limits.max_body_bytes, m_state->budget.LargestRequest() - overhead);
   return limits;
 }
 
@@ -406,7 +407,7 @@
   }
   uint64_t held = m_buffer.capacity() + m_unsent_bytes;
   if (m_receiving && m_parser) {
-    held += m_head_bytes + m_parser->get().body().size();
+    held += m_head_memory + m_parser->get().body().size();
   } else if (m_exchange != nullptr) {
     held += m_request_bytes;
   }
@@ -440,6 +441,7 @@
   m_receiving = false;
   m_head_read = false;
   m_head_bytes = 0;
+  m_head_memory = 0;
   m_progress = 0;
   m_received = m_buffer.size();
   Budget().SetPhase(m_id, Phase::kIdle, m_context->loop->Now());
@@ -552,7 +554,9 @@
 
 void CallerConnection::OnHead() {
   m_head_read = true;
-  m_head_bytes = m_received - m_buffer.size() - m_parser->get().body().size();
+  const auto& request = m_parser->get();
+  m_head_bytes = m_received - m_buffer.size() - request.body().size();
+  m_head_memory = HeadMemoryBytes(request.base(), m_head_bytes);
   m_progress_at = m_context->loop->Now();
   if (m_parser->get()[http::field::expect] == "100-continue") {
     Write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -657,7 +661,11 @@
   m_receiving = false;
   m_keep_alive = m_parser->keep_alive();
   m_head_request = m_parser->get().method() == http::verb::head;
-  m_request_bytes = m_received - m_buffer.size();
+  // Trailers have become fields of the head. The message to an upstream has a copy of the fields.
+  const auto& received = m_parser->get();
+  const uint64_t wire_bytes = m_received - m_buffer.size();
+  const uint64_t head = HeadMemoryBytes(received.base(), wire_bytes - received.body().size());
+  m_request_bytes = 2 * head + received.body().size();
   const TimePoint now = m_context->loop->Now();
   IncomingRequest request{m_parser->release(), now};
   m_exchange = MakeExchange(m_context, std::move(request), this);
--- a/src/forward/transfer_limits.cc
+++ b/src/forward/transfer_limits.cc
@@ -5,13 +5,16 @@
 #include <string>
 
 #include "azuregw/admission/receive_budget.h"
+#include "azuregw/net/head_memory.h"
 #include "azuregw/routes/key_age.h"
 
 namespace azuregw {
 namespace {
 
-// Smallest request that each instance has to take: a head of 64 KiB with a body of 1 MiB.
-constexpr uint64_t kMinLargestRequest = (uint64_t{1} << 20) + (uint64_t{64} << 10);
+// Smallest request that each instance has to take: the largest head, in the buffer and parsed, with
+// a body of 1 MiB.
+constexpr uint64_t kMinLargestRequest =
+    (uint64_t{1} << 20) + kMaxRequestHeadBytes + MaxHeadMemoryBytes(kMaxRequestHeadBytes);
 constexpr size_t kMinConnections = 16;
 
 }  // namespace
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -13,6 +13,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cstddef>
 #include <deque>
 #include <iterator>
 #include <limits>
@@ -37,6 +38,8 @@
 constexpr size_t kBodyBufferBytes = 8192;
 // Limit of an answer's header block; engines send a few hundred bytes.
 constexpr uint32_t kMaxResponseHeaderBytes = 32 * 1024;
+// Fields of an answer's head. Engines send about ten; parsed, each takes a hundred bytes and more.
+constexpr std::ptrdiff_t kMaxResponseFields = 512;
 // Limit of the bytes that are buffered before they are parsed: a header block and one read of a
 // body. Without it, a chunk header without end would fill the memory.
 constexpr size_t kMaxBufferedBytes = kMaxResponseHeaderBytes + kBodyBufferBytes;
@@ -321,6 +324,10 @@
           self->Fail("the head states " + std::string(ambiguity), true);
           return;
         }
+        if (std::distance(head.begin(), head.end()) > kMaxResponseFields) {
+          self->Fail("the head has too many fields", true);
+          return;
+        }
         const int status = static_cast<int>(head.result_int());
         if (status < kMinInterimStatus || status > kMaxFinalStatus ||
             status == kSwitchingProtocols) {
--- a/tests/callers/untrusted_callers_test.cc
+++ b/tests/callers/untrusted_callers_test.cc
@@ -5,7 +5,9 @@
 // the limits of its settings, and that one ordinary request is answered afterwards, while the crowd
 // still holds the connections that it was left. Nothing depends on the speed of the machine.
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <cstddef>
 #include <string>
 
 #include "tests/callers/callers_run.h"
@@ -23,6 +25,12 @@
 constexpr int kUnreadCrowd = 40;
 // Connections that each hold a head of nearly the largest legal size.
 constexpr int kHeadCrowd = 1000;
+// Connections that each hold a head of many fields: 1.5 times the memory of the instance.
+constexpr int kShortFieldCrowd = 300;
+// Connections that the instance accepts, and callers that come at once, in the case of a crowd that
+// stays.
+constexpr int kStayingCrowd = 75;
+constexpr int kArrivals = 30;
 
 std::string Head(const std::string& fields) {
   return "POST /order/x HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: hostile\r\n"
@@ -127,6 +135,14 @@
   Play(kHeadCrowd, {Head("X-Long: "), std::string(8000, 'a'), 16000}, limits);
 }
 
+// Guards against a process that exceeds its memory by heads of many short fields, each of which
+// takes twenty times its bytes on the wire when it is parsed.
+BOOST_AUTO_TEST_CASE(heads_of_many_short_fields_with_bodies_that_stop_short) {
+  const std::string head =
+      Head(Repeat("a:\r\n", 3900) + "Content-Length: 4096\r\n\r\n") + std::string(4095, 'b');
+  Play(kShortFieldCrowd, {head, "", 0});
+}
+
 BOOST_AUTO_TEST_CASE(bodies_that_stop_short_of_their_end) {
   const InstanceLimits limits;
   Play(kBodyCrowd,
@@ -172,6 +188,28 @@
   Play(250, {Head(""), "", 0}, limits);
 }
 
+// Guards against callers who are locked out by a crowd that was answered once and stays: callers
+// that come together made room for each other.
+BOOST_AUTO_TEST_CASE(crowd_that_stays_does_not_lock_ordinary_callers_out) {
+  InstanceLimits limits;
+  limits.max_descriptors = kFileDescriptors + 100;
+  CallersRun run(limits);
+  BOOST_REQUIRE(run.Start());
+  const std::string no_key =
+      "POST /order/x HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: crowd\r\n"
+      "Content-Length: 2\r\n\r\nhi";
+  run.Attack(kStayingCrowd, {no_key, "", 0});
+  const auto answered = [&](size_t first) {
+    return std::count_if(run.Callers().begin() + static_cast<std::ptrdiff_t>(first),
+                         run.Callers().end(),
+                         [](const auto& caller) { return !caller->Received().empty(); });
+  };
+  BOOST_TEST(run.Until([&] { return answered(0) == kStayingCrowd; }));
+  run.Attack(kArrivals, {HeadWithLength(2) + "hi", "", 0});
+  BOOST_TEST(run.Until([&] { return answered(kStayingCrowd) == kArrivals; }));
+  Judge(&run, limits);
+}
+
 // Each answer is of some MB, and no caller reads.
 BOOST_AUTO_TEST_CASE(long_answers_that_are_not_read) {
   const std::string body = std::string(fakes::kLongBody) + "x";
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -297,6 +297,22 @@
   }
 }
 
+// Guards against the memory of heads with many short fields.
+BOOST_AUTO_TEST_CASE(answer_with_many_fields_is_refused) {
+  for (const int count : {500, 600}) {
+    Fixture f([count](size_t, const std::string&) {
+      std::string fields;
+      for (int i = 0; i < count; ++i) {
+        fields += "a:\r\n";
+      }
+      return Raw("HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 2\r\n\r\nhi");
+    });
+    Recorder recorder;
+    f.Run(&recorder);
+    BOOST_TEST(recorder.done == (count == 500));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(chunked_bodies_are_passed_on_decoded) {
   Fixture f([](size_t, const std::string&) {
     return Raw(
