--- a/src/sync/removal_bounds.cc
+++ b/src/sync/removal_bounds.cc
@@ -21,7 +21,7 @@
 // A slow store takes 400 ms to answer.
 constexpr Milliseconds kOwnCallMargin{500};
 constexpr double kMaxOwnCallMarginFraction = 0.5;
-// Heartbeats vary by a quarter of their interval.
+// Margin for early expiry. The platform calls the interval approximate and states no figure.
 constexpr double kHeartbeatJitter = 0.25;
 
 Milliseconds Scale(double factor, Milliseconds time) {
